--- a/cmd/chestnutcoursed/main.go
+++ b/cmd/chestnutcoursed/main.go
@@ -28,6 +28,8 @@
 	app := kingpin.New("chestnutcoursed", "Routes requests to the servers that own their keys. Runs on every entry VM.")
 	run := app.Command("run", "Run the daemon until SIGTERM or SIGINT, then stop gracefully.")
 	runFile := run.Flag("settings", "JSON file with the settings of this daemon (docs/SETTINGS.md).").Required().String()
+	serve := app.Command("serve", "Run the daemon on the users' platform until SIGTERM or SIGINT, then stop gracefully.")
+	serveFile := serve.Flag("settings", "Settings file of the platform.").Envar("CHESTNUTCOURSE_CONFIG").Required().String()
 	check := app.Command("check", "Check a settings file and start nothing.")
 	checkFile := check.Flag("settings", "JSON file to check.").Required().String()
 	dev := app.Command("dev", "Run a whole deployment in one process, with sample targets, to try things out.")
@@ -38,6 +40,8 @@
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case run.FullCommand():
 		os.Exit(runDaemon(ctx, *runFile))
+	case serve.FullCommand():
+		os.Exit(runOnPlatform(ctx, *serveFile))
 	case check.FullCommand():
 		os.Exit(checkSettings(*checkFile))
 	case dev.FullCommand():
--- /dev/null
+++ b/cmd/chestnutcoursed/platform.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/process/daemon"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/gateway"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/observer"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
+	"github.com/chestnutcourse/chestnutcourse/platform"
+)
+
+const (
+	// deployment names the sessions between VMs; on the platform VMs find each
+	// other in its store, which belongs to one deployment.
+	deployment = "platform"
+	// memoryShare is the share of the memory limit at which the runtime collects
+	// garbage more eagerly.
+	memoryShare = 0.7
+	// collectAt is the growth of the heap in percent that starts a collection;
+	// memory is dearer than processor time there.
+	collectAt = 50
+)
+
+// runOnPlatform runs the daemon on the users' platform.
+func runOnPlatform(ctx context.Context, path string) int {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitInvalid
+	}
+	debug.SetGCPercent(collectAt)
+	if s.MemoryMegabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMegabytes<<20)))
+	}
+	out := daemon.NewLogWriter(os.Stdout)
+	defer out.Close()
+	logger := zerolog.New(out).With().Timestamp().Str("vm", s.VM).Logger()
+	g, err := gateway.New(gatewaySettings(s), platformParts(s), logger)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitInvalid
+	}
+	// The settings that may change at runtime are in the store; a new settings
+	// file counts from the next start.
+	signal.Ignore(syscall.SIGHUP)
+	if err := g.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
+
+func gatewaySettings(s *platform.Settings) gateway.Settings {
+	return gateway.Settings{
+		VM: s.VM, FailureDomain: s.FailureDomain, Region: s.Region,
+		Callers: s.CallersAddress, Ready: s.ReadyAddress, Peers: s.PeersAddress, Metrics: s.MetricsAddress,
+		Deployment: deployment, Processor: s.Processor,
+		Broker: admission.Config{
+			Budget: admission.Budget{
+				Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow,
+			},
+			ColdFactor: s.Bounds.ColdFactor, ColdAllowance: s.Bounds.ColdAllowance,
+		},
+		LongestHold: s.Bounds.LongestGrant, StopWithin: s.Bounds.Stop,
+	}
+}
+
+func platformParts(s *platform.Settings) gateway.Platform {
+	return gateway.Platform{
+		Store: platform.NewStore(s.StoreAddress), RecordName: platform.RecordName,
+		Names: observer.Names{
+			Config: platform.ConfigPrefix, Targets: platform.TargetsPrefix, Evacuations: platform.EvacuationsPrefix,
+			DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget, DecodeEvacuation: platform.DecodeEvacuation,
+		},
+		Targets: platform.NewOrders(), Dialect: platform.Dialect{},
+	}
+}
--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -57,6 +57,9 @@
 // Unwrap returns the cause.
 func (e *ExchangeError) Unwrap() error { return e.Cause }
 
+// maxStray bounds the stray answers that are read past before one's own.
+const maxStray = 3
+
 var (
 	errIncompleteAnswer = errors.New("answer has no definite length")
 	errCrossedAnswer    = errors.New("answer names another request")
@@ -70,7 +73,7 @@
 func (e *Exchange) Do(ctx context.Context, request *http.Request, streamed bool) (*Answer, error) {
 	c := e.connection
 	c.socket.accepted = 0
-	run := &exchangeRun{pool: e.pool, connection: c, requestID: request.Header.Get(HeaderRequestID), method: request.Method}
+	run := &exchangeRun{pool: e.pool, connection: c, requestID: request.Header.Get(e.pool.form.RequestIDHeader), method: request.Method}
 	run.stop = context.AfterFunc(ctx, func() { _ = c.socket.Close() })
 	answer, err := run.perform(request, streamed)
 	if err != nil {
@@ -97,7 +100,7 @@
 	if failure := r.sender.unsent(); failure != nil {
 		return nil, failure
 	}
-	response, err := readHead(r.connection, request)
+	response, err := r.readOwnHead(request)
 	if err != nil {
 		return nil, r.sender.explain(err)
 	}
@@ -114,15 +117,34 @@
 	}, nil
 }
 
+// readOwnHead reads the head of the answer, past stray answers to other
+// requests where the form allows them.
+func (r *exchangeRun) readOwnHead(request *http.Request) (*http.Response, error) {
+	for skipped := 0; ; skipped++ {
+		response, err := readHead(r.connection, request)
+		if err != nil {
+			return nil, err
+		}
+		form := r.pool.form
+		own := response.Header.Get(form.RequestIDHeader) == r.requestID
+		if own || !form.SkipStray || skipped == maxStray || !hasLength(response, r.method) {
+			return response, nil
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // check accepts only an answer to this request with a definite length.
 func (r *exchangeRun) check(response *http.Response) (Defect, error) {
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return Malformed, errUnexpectedSwitch
 	}
-	if response.Header.Get(HeaderRequestID) != r.requestID {
+	if response.Header.Get(r.pool.form.RequestIDHeader) != r.requestID {
 		return Crossed, errCrossedAnswer
 	}
-	if !hasLength(response, r.method) {
+	if !r.pool.form.Unframed && !hasLength(response, r.method) {
 		return Malformed, errIncompleteAnswer
 	}
 	return 0, nil
--- a/internal/connection/target/pool.go
+++ b/internal/connection/target/pool.go
@@ -24,6 +24,7 @@
 type Pool struct {
 	address string
 	limit   int
+	form    Form
 
 	mu       sync.Mutex
 	idle     []*connection
@@ -36,8 +37,11 @@
 
 // NewPool returns a pool of at most limit connections; a limit of 0 or less
 // means 1.
-func NewPool(address string, limit int) *Pool {
-	return &Pool{address: address, limit: max(limit, 1)}
+func NewPool(address string, limit int) *Pool { return NewPoolOf(address, limit, OwnForm) }
+
+// NewPoolOf returns a pool for targets of another form than the project's own.
+func NewPoolOf(address string, limit int, form Form) *Pool {
+	return &Pool{address: address, limit: max(limit, 1), form: form}
 }
 
 // Address returns the address that the pool connects to.
@@ -136,7 +140,7 @@
 // usable reports whether an idle connection may be used, and counts a lost one.
 // The lock is held.
 func (p *Pool) usable(c *connection) bool {
-	if time.Since(c.idleSince) >= maxIdle {
+	if time.Since(c.idleSince) >= p.form.MaxIdle {
 		return false
 	}
 	if c.quiet() {
@@ -211,14 +215,17 @@
 	if err := p.claim(); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.form.DialTimeout)
 	defer cancel()
-	c, err := dial(ctx, p.address, dialTimeout)
+	c, err := dial(ctx, p.address, p.form.DialTimeout)
 	if err != nil {
 		p.unclaim()
 		return nil, err
 	}
 	c.onClose = p.unclaim
+	if !p.form.Probe {
+		return c, nil
+	}
 	if err := c.probe(ctx, p.address); err != nil {
 		c.close()
 		return nil, err
--- /dev/null
+++ b/internal/process/coordinator/coordinator.go
@@ -0,0 +1,194 @@
+// Package coordinator finds the leader of the VMs and does its work: it watches
+// what is declared, decides who owns which keys, gives the keys to the targets,
+// and passes all of it on to the other VMs.
+//
+// Guarantees: the leader is named by one record in the store, changed only by
+// conditional writes that also carry the owners of all keys; a move is written
+// before it begins, so that no leader undoes the move of another; a leader
+// renews grants only while it is known to be the leader; targets check fences,
+// which rise with every move.
+//
+// Everything but calls runs on the loop.
+package coordinator
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/loop"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/observer"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/store"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/keyspace"
+)
+
+// tickEvery is the interval at which the coordinator looks at what depends on time.
+const tickEvery = 50 * time.Millisecond
+
+// Targets carries out orders. Errors are of the kinds Conflict (a higher fence
+// was seen), NotFound (no process listens there), UnknownOutcome and Unavailable.
+type Targets interface {
+	Grant(ctx context.Context, address string, slice fleet.Slice, hold time.Duration, handover string) error
+	Release(ctx context.Context, address string, slice fleet.Slice) (handover string, err error)
+}
+
+// Store is the part of the platform's store that a coordinator uses.
+type Store interface {
+	store.Store
+	// Probe makes the cheapest call that shows whether the store answers.
+	Probe(ctx context.Context, name string) error
+}
+
+// Config configures a Coordinator.
+type Config struct {
+	Self          fleet.Member
+	FailureDomain string
+	Processor     float64
+	// RecordName is the store object that holds the record.
+	RecordName string
+	Names      observer.Names
+	Loop       *loop.Loop
+	Store      Store
+	Sender     peer.ControlSender
+	Targets    Targets
+	// LongestHold is the longest grant that targets accept.
+	LongestHold time.Duration
+	// Publish receives every new view; it runs on the loop.
+	Publish func(*fleet.View)
+	// Observe returns what the own broker has measured of a target.
+	Observe func(service, target string) (admission.Observation, bool)
+	// Demand hands out the own broker's measured demand for keys of a service.
+	Demand func(service string, now time.Time, use func(*keyspace.Load))
+	Logger *zerolog.Logger
+}
+
+// Coordinator is one VM's part in the coordination.
+type Coordinator struct {
+	config   Config
+	ctx      context.Context
+	view     *fleet.View
+	observer *observer.Observer
+
+	// Following: what is known of the leader.
+	heardAt time.Time
+	// heardNanos is heardAt for readers outside the loop.
+	heardNanos atomic.Int64
+	reportAt   time.Time
+	yielding   bool
+	have       *peerv1.PartVersions
+	lookAt     time.Time
+	lookPause  time.Duration
+	looking    bool
+	// leaderEnded is set once the leader's process is known to be gone.
+	leaderEnded bool
+
+	lead    *leadership
+	leaving bool
+}
+
+// New returns a coordinator that starts with Start.
+func New(config Config) *Coordinator {
+	c := &Coordinator{config: config, view: &fleet.View{}, have: &peerv1.PartVersions{}, lookPause: lookMin}
+	c.observer = observer.New(observer.Config{
+		Names: config.Names, Store: config.Store, Loop: config.Loop, Logger: config.Logger,
+		Changed: c.declarationsChanged, Contact: c.storeContact,
+	})
+	return c
+}
+
+// Start begins the work; it ends with the context.
+func (c *Coordinator) Start(ctx context.Context) {
+	c.ctx = ctx
+	c.config.Loop.Post(func() {
+		now := time.Now()
+		c.heardAt = now.Add(-silentAfter)
+		c.lookAt = now.Add(rankDelay(c.config.Self, c.config.Processor, 0))
+	})
+	c.config.Loop.Every(ctx, tickEvery, c.tick)
+}
+
+// Leave begins the end of this VM: a leader asks the others to take over.
+func (c *Coordinator) Leave() {
+	c.leaving = true
+	c.reportAt = time.Time{}
+	if c.lead != nil {
+		c.pushAll()
+	}
+}
+
+// Leads reports whether this VM is the leader.
+func (c *Coordinator) Leads() bool { return c.lead != nil }
+
+// HearsLeader reports whether the leader has been heard lately. It may be
+// called from any goroutine.
+func (c *Coordinator) HearsLeader() bool {
+	return time.Since(time.Unix(0, c.heardNanos.Load())) < silentAfter
+}
+
+// tick does what depends on time.
+func (c *Coordinator) tick() {
+	now := time.Now()
+	if c.lead != nil {
+		c.leadTick(now)
+		return
+	}
+	c.followTick(now)
+}
+
+// declarationsChanged is called when the observer has learnt something.
+func (c *Coordinator) declarationsChanged() {
+	if c.lead != nil {
+		c.lead.declarationsChanged = true
+		c.leadTick(time.Now())
+		return
+	}
+	c.publishObserved()
+}
+
+// storeContact notes the result of a call to the store.
+func (c *Coordinator) storeContact(err error) {
+	if c.lead != nil {
+		c.lead.storeContact(err, time.Now())
+	}
+}
+
+// publishObserved builds a view from the own watches, on a VM that does not
+// hear a leader.
+func (c *Coordinator) publishObserved() {
+	view := *c.view
+	if config := c.observer.Config(); config != nil && (view.Config == nil || config.Version > view.Config.Version) {
+		view.Config = config
+	}
+	if c.observer.Complete() {
+		view.Targets = c.observer.Targets()
+		view.Evacuated = c.observer.Evacuated()
+	}
+	c.publish(&view)
+}
+
+func (c *Coordinator) publish(view *fleet.View) {
+	c.view = view
+	c.config.Publish(view)
+}
+
+// Handle takes a message of another VM. It reports whether the message was for
+// the coordinator.
+func (c *Coordinator) Handle(from peer.Peer, message *peerv1.Control) (*peerv1.Control, bool) {
+	switch kind := message.Kind.(type) {
+	case *peerv1.Control_MemberReport:
+		c.handleReport(from, kind.MemberReport)
+	case *peerv1.Control_FleetState:
+		c.handleState(from, kind.FleetState)
+	case *peerv1.Control_LeaderQuery:
+		return &peerv1.Control{Kind: &peerv1.Control_LeaderQueryReply{LeaderQueryReply: c.answerQuery()}}, true
+	default:
+		return nil, false
+	}
+	return nil, true
+}
--- /dev/null
+++ b/internal/process/coordinator/keeper.go
@@ -0,0 +1,238 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+const (
+	// usualHold is how long a grant lasts: keys of a target that falls silent are
+	// served again after it.
+	usualHold = 3 * time.Second
+	// renewEvery is the interval of renewals, a quarter of usualHold.
+	renewEvery = 750 * time.Millisecond
+	// clockSlack is how much slower a target's clock may run.
+	clockSlack = 0.03
+	// holdMargin covers the way of a grant and the timers of both sides.
+	holdMargin = 250 * time.Millisecond
+	// refusalsToEnd is the number of refused connections, one after the other,
+	// that show that a process has ended.
+	refusalsToEnd = 2
+)
+
+// keeper holds who may hold which keys, and says what to order next. It does
+// no input or output.
+//
+// Invariant: a slice is granted only while nobody else can hold its keys. That
+// is so once every former owner has answered a release at the slice's fence,
+// has ended, or cannot have a grant in force any more. Former owners are
+// written to the store before the first of them is asked.
+type keeper struct {
+	slices map[string][]fleet.Slice
+	// mayHoldUntil is when the last grant that a target may have got runs out.
+	mayHoldUntil map[fleet.Life]time.Time
+	// heldBefore is when every grant of earlier leaders has run out.
+	heldBefore time.Time
+	// handovers are the words of former owners on their keys, by the slice's fence.
+	handovers map[uint64]string
+	// refusals counts refused connections, one after the other, by target.
+	refusals map[fleet.Life]int
+	// ordering are the slices with an order under way, by fence and target.
+	ordering map[order]bool
+	renewAt  map[sliceID]time.Time
+}
+
+// sliceID identifies a slice. Parts of a slice that was cut share its fence.
+type sliceID struct {
+	fence uint64
+	first uint16
+}
+
+func idOf(s *fleet.Slice) sliceID { return sliceID{s.Fence, s.First} }
+
+// order is a release or grant of a slice, identified by its fence and range.
+type order struct {
+	service string
+	fence   uint64
+	first   uint16
+	target  fleet.Life
+	release bool
+}
+
+// task is an order to carry out.
+type task struct {
+	order
+	slice fleet.Slice
+	// handover goes with a grant.
+	handover string
+}
+
+// newKeeper takes over the slices of a record. Grants of earlier leaders may
+// run until heldBefore.
+func newKeeper(slices map[string][]fleet.Slice, heldBefore time.Time) *keeper {
+	k := &keeper{
+		slices: map[string][]fleet.Slice{}, mayHoldUntil: map[fleet.Life]time.Time{}, heldBefore: heldBefore,
+		handovers: map[uint64]string{}, refusals: map[fleet.Life]int{}, ordering: map[order]bool{},
+		renewAt: map[sliceID]time.Time{},
+	}
+	for service, list := range slices {
+		k.slices[service] = append([]fleet.Slice(nil), list...)
+	}
+	return k
+}
+
+// replace takes in the slices of a service after a write of the record.
+// Handovers belong to a fence, so those of slices that are gone are dropped.
+func (k *keeper) replace(service string, list []fleet.Slice) {
+	k.slices[service] = append([]fleet.Slice(nil), list...)
+}
+
+// ended notes that a life of a target is over: it holds nothing.
+func (k *keeper) ended(life fleet.Life) bool {
+	changed := false
+	k.mayHoldUntil[life] = time.Time{}
+	for service, list := range k.slices {
+		for i := range list {
+			if without(&list[i], life) {
+				changed = true
+			}
+		}
+		k.slices[service] = list
+	}
+	return changed
+}
+
+// without removes a former owner from a slice.
+func without(s *fleet.Slice, life fleet.Life) bool {
+	at := slices.Index(s.From, life)
+	if at < 0 {
+		return false
+	}
+	s.From = slices.Delete(append([]fleet.Life(nil), s.From...), at, at+1)
+	return true
+}
+
+// runsOut returns when the last grant that a target may have runs out.
+func (k *keeper) runsOut(life fleet.Life) time.Time {
+	at, known := k.mayHoldUntil[life]
+	if known && (at.IsZero() || at.After(k.heldBefore)) {
+		return at
+	}
+	return k.heldBefore
+}
+
+// expire drops former owners whose grants have run out.
+func (k *keeper) expire(now time.Time) []fleet.Slice {
+	var freed []fleet.Slice
+	for service, list := range k.slices {
+		for i := range list {
+			for _, life := range slices.Clone(list[i].From) {
+				if now.After(k.runsOut(life)) {
+					without(&list[i], life)
+					freed = append(freed, list[i])
+				}
+			}
+		}
+		k.slices[service] = list
+	}
+	return freed
+}
+
+// due returns the orders to carry out now.
+func (k *keeper) due(now time.Time) []task {
+	var tasks []task
+	for service, list := range k.slices {
+		for _, s := range list {
+			if len(s.From) > 0 {
+				for _, life := range s.From {
+					tasks = k.add(tasks, task{order: order{service, s.Fence, s.First, life, true}, slice: s}, now)
+				}
+				continue
+			}
+			tasks = k.add(tasks, task{
+				order: order{service, s.Fence, s.First, s.Owner, false}, slice: s, handover: k.handovers[s.Fence],
+			}, now)
+		}
+	}
+	return tasks
+}
+
+// add adds a task unless it is under way or not due yet.
+func (k *keeper) add(tasks []task, t task, now time.Time) []task {
+	if k.ordering[t.order] {
+		return tasks
+	}
+	if !t.release && t.slice.Ready && now.Before(k.renewAt[idOf(&t.slice)]) {
+		return tasks
+	}
+	k.ordering[t.order] = true
+	return append(tasks, t)
+}
+
+// find returns the slice that an order is about, or nil if it has changed.
+func (k *keeper) find(o order) *fleet.Slice {
+	list := k.slices[o.service]
+	for i := range list {
+		if list[i].Fence == o.fence && list[i].First == o.first {
+			return &list[i]
+		}
+	}
+	return nil
+}
+
+// granted notes the end of a grant; unless it was refused, the target may hold
+// the keys until the hold has run out. It reports whether the slice became ready.
+func (k *keeper) granted(t task, ok bool, hold time.Duration, now time.Time) bool {
+	delete(k.ordering, t.order)
+	until := now.Add(time.Duration(float64(hold)*(1+clockSlack)) + holdMargin)
+	if until.After(k.mayHoldUntil[t.target]) {
+		k.mayHoldUntil[t.target] = until
+	}
+	s := k.find(t.order)
+	if !ok || s == nil || s.Owner != t.target || len(s.From) > 0 {
+		return false
+	}
+	k.refusals[t.target] = 0
+	k.renewAt[idOf(s)] = now.Add(renewEvery)
+	became := !s.Ready
+	s.Ready = true
+	return became
+}
+
+// failed notes an order without success.
+func (k *keeper) failed(t task) { delete(k.ordering, t.order) }
+
+// refusedConnection counts a refused connection and reports whether the process
+// has ended.
+func (k *keeper) refusedConnection(life fleet.Life) bool {
+	k.refusals[life]++
+	return k.refusals[life] >= refusalsToEnd
+}
+
+// released notes the answer to a release and reports whether it was the last
+// that the slice waited for.
+func (k *keeper) released(t task, handover string) bool {
+	delete(k.ordering, t.order)
+	k.refusals[t.target] = 0
+	s := k.find(t.order)
+	if s == nil || !without(s, t.target) {
+		return false
+	}
+	if handover != "" {
+		k.handovers[s.Fence] = handover
+	}
+	return len(s.From) == 0
+}
+
+// renewNow makes the grants of a target due.
+func (k *keeper) renewNow(life fleet.Life) {
+	for _, list := range k.slices {
+		for i := range list {
+			if list[i].Owner == life {
+				delete(k.renewAt, idOf(&list[i]))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/coordinator/keys.go
@@ -0,0 +1,271 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/keyspace"
+)
+
+const (
+	// planEvery is the interval at which the owners of keys are reconsidered.
+	planEvery = 250 * time.Millisecond
+	// grantTimeout bounds a grant; releaseTimeout bounds a release, which waits
+	// for the work on the keys.
+	grantTimeout   = 600 * time.Millisecond
+	releaseTimeout = 4 * time.Second
+	// coldCapacity is the capacity of a cold target relative to a warm one.
+	coldCapacity = 0.4
+	// minCapacity keeps a slow target from being left without any keys, so that
+	// its speed is still measured.
+	minCapacity = 0.05
+	// settle is how long a new leader waits for the declarations before it takes
+	// keys from targets that are not declared.
+	settle = 300 * time.Millisecond
+)
+
+// keepKeys plans moves and carries out orders.
+func (c *Coordinator) keepKeys(now time.Time) {
+	l := c.lead
+	if c.view.Config == nil || !c.observer.Complete() {
+		return
+	}
+	if !c.mayAct(now) {
+		return
+	}
+	if freed := l.keeper.expire(now); len(freed) > 0 {
+		for _, s := range freed {
+			events.GrantsRanOut.Log(c.config.Logger).Int("first", int(s.First)).Int("last", int(s.Last)).Uint64("fence", s.Fence).Send()
+		}
+	}
+	if !l.writing && !now.Before(l.planAt) && now.Sub(l.since) > settle {
+		l.planAt = now.Add(planEvery)
+		c.planMoves(now)
+	}
+	for _, t := range l.keeper.due(now) {
+		c.carryOut(t)
+	}
+}
+
+// planMoves looks for the first service whose keys should move and writes the moves.
+func (c *Coordinator) planMoves(now time.Time) {
+	l := c.lead
+	for i := range c.view.Config.Services {
+		service := &c.view.Config.Services[i]
+		if !service.Keyed {
+			continue
+		}
+		owners := c.owners(service, now)
+		var moves []keyspace.Move
+		current := l.keeper.slices[service.Name]
+		if len(current) == 0 {
+			moves = keyspace.Initial(owners)
+		} else {
+			c.config.Demand(service.Name, now, func(load *keyspace.Load) { moves = keyspace.Plan(current, owners, load) })
+		}
+		if len(moves) > 0 {
+			c.writeMoves(service.Name, current, moves)
+			return
+		}
+	}
+}
+
+// owners returns the targets of a service with their capacities.
+func (c *Coordinator) owners(service *fleet.Service, now time.Time) []keyspace.Owner {
+	var owners []keyspace.Owner
+	for _, t := range c.view.Targets {
+		if t.Service != service.Name {
+			continue
+		}
+		observed, _ := c.config.Observe(service.Name, t.ID)
+		owners = append(owners, keyspace.Owner{Life: t.Life, Capacity: c.capacity(t, observed, now)})
+	}
+	return owners
+}
+
+func (c *Coordinator) capacity(t *fleet.Target, observed admission.Observation, now time.Time) float64 {
+	if !c.view.Usable(t) || observed.Refused || c.lead.keeper.refusals[t.Life] >= refusalsToEnd {
+		return 0
+	}
+	capacity := float64(t.Slots)
+	if observed.Slowness > 0 {
+		capacity /= observed.Slowness
+	}
+	capacity *= 1 - observed.FailureShare
+	if now.Before(t.ColdUntil) {
+		capacity *= coldCapacity
+	}
+	return max(capacity, minCapacity*float64(t.Slots))
+}
+
+// writeMoves writes moves into the record and begins them.
+func (c *Coordinator) writeMoves(service string, current []fleet.Slice, moves []keyspace.Move) {
+	l := c.lead
+	fence := l.record.LastFence
+	list := keyspace.Apply(current, moves, func() uint64 { fence++; return fence })
+	record := l.next(service, list, fence)
+	l.writing = true
+	revision := l.revision
+	go func() {
+		began := time.Now()
+		version, err := c.writeRecord(&record, revision)
+		c.config.Loop.Post(func() {
+			if c.lead != l {
+				return
+			}
+			l.writing = false
+			c.movesWritten(service, moves, record, version, began, err)
+		})
+	}()
+}
+
+// movesWritten begins moves that are in the record.
+func (c *Coordinator) movesWritten(service string, moves []keyspace.Move, record fleet.Record, revision int64, began time.Time, err error) {
+	l := c.lead
+	l.storeContact(err, time.Now())
+	if fault.Is(err, fault.Conflict) {
+		c.stepDown("the record has been changed by another VM")
+		return
+	}
+	if err != nil {
+		events.MovesNotWritten.Log(c.config.Logger).Str("service", service).Int("moves", len(moves)).Err(err).Send()
+		return
+	}
+	for _, m := range moves {
+		events.MovePlanned.Log(c.config.Logger).Str("service", service).Int("first", int(m.First)).Int("last", int(m.Last)).
+			Str("to", m.To.ID).Uint64("term", record.Term).Int64("revision", revision).Send()
+	}
+	// Releases that were answered while the record was written are in the
+	// keeper and not in the record.
+	list := mergeProgress(record.Slices[service], l.keeper.slices[service])
+	l.record, l.revision, l.confirmedAt = record, revision, began
+	l.keeper.replace(service, list)
+	c.slicesChanged()
+	for _, t := range l.keeper.due(time.Now()) {
+		c.carryOut(t)
+	}
+}
+
+// mergeProgress keeps what has been learnt of slices that a write did not change.
+func mergeProgress(written, live []fleet.Slice) []fleet.Slice {
+	merged := append([]fleet.Slice(nil), written...)
+	for i := range merged {
+		for _, s := range live {
+			if s.Fence == merged[i].Fence && s.First <= merged[i].First && merged[i].Last <= s.Last {
+				merged[i].From, merged[i].Ready = s.From, s.Ready
+			}
+		}
+	}
+	return merged
+}
+
+// slicesChanged publishes the owners of keys.
+func (c *Coordinator) slicesChanged() {
+	l := c.lead
+	view := *c.view
+	view.Slices = map[string][]fleet.Slice{}
+	for service, list := range l.keeper.slices {
+		view.Slices[service] = append([]fleet.Slice(nil), list...)
+	}
+	l.versions.Slices++
+	c.publish(&view)
+	c.pushAll()
+}
+
+// carryOut sends an order to a target.
+func (c *Coordinator) carryOut(t task) {
+	l := c.lead
+	target := c.view.Targets[t.target.ID]
+	if target == nil || target.Life != t.target {
+		// The address is not known; the grant has to run out.
+		l.keeper.failed(t)
+		return
+	}
+	address := target.Address
+	go func() {
+		began := time.Now()
+		handover, err := c.send(t, address)
+		c.config.Loop.Post(func() {
+			if c.lead == l {
+				c.orderDone(t, handover, err, began)
+			}
+		})
+	}()
+}
+
+func (c *Coordinator) send(t task, address string) (string, error) {
+	if t.release {
+		ctx, cancel := context.WithTimeout(c.ctx, releaseTimeout)
+		defer cancel()
+		return c.config.Targets.Release(ctx, address, t.slice)
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, grantTimeout)
+	defer cancel()
+	return "", c.config.Targets.Grant(ctx, address, t.slice, usualHold, t.handover)
+}
+
+// orderDone notes the result of an order.
+func (c *Coordinator) orderDone(t task, handover string, err error, began time.Time) {
+	k := c.lead.keeper
+	now := time.Now()
+	changed := false
+	switch {
+	case fault.Is(err, fault.NotFound):
+		k.failed(t)
+		if k.refusedConnection(t.target) {
+			changed = k.ended(t.target)
+		}
+	case t.release && err == nil:
+		changed = k.released(t, handover)
+	case t.release:
+		k.failed(t)
+	default:
+		changed = k.granted(t, err == nil, usualHold, now)
+	}
+	c.logOrder(t, err, now.Sub(began), changed)
+	if fault.Is(err, fault.Conflict) && !t.release {
+		c.fenceSeen(t)
+	}
+	if changed {
+		c.slicesChanged()
+		for _, next := range k.due(now) {
+			c.carryOut(next)
+		}
+	}
+}
+
+// fenceSeen handles a target that has seen a higher fence than the slice has:
+// unless the slice has moved on, it gets a fence of its own.
+func (c *Coordinator) fenceSeen(t task) {
+	l := c.lead
+	s := l.keeper.find(t.order)
+	if s == nil || s.Last != t.slice.Last || l.writing {
+		return
+	}
+	c.writeMoves(t.service, l.keeper.slices[t.service], []keyspace.Move{{First: s.First, Last: s.Last, To: s.Owner}})
+}
+
+// logOrder logs what an order changed; renewals without news are not logged.
+func (c *Coordinator) logOrder(t task, err error, took time.Duration, changed bool) {
+	if err == nil && !changed && !t.release {
+		return
+	}
+	kind := "grant"
+	if t.release {
+		kind = "release"
+	}
+	events.OrderDone.Log(c.config.Logger).Str("order", kind).Str("service", t.service).Str("target", t.target.ID).
+		Int("first", int(t.slice.First)).Int("last", int(t.slice.Last)).Uint64("fence", t.fence).
+		Dur("took", took).Bool("changed", changed).AnErr("error", err).Send()
+}
+
+// NotOwner notes that a target refused a request for a key that it should own.
+func (c *Coordinator) NotOwner(life fleet.Life) {
+	if c.lead != nil {
+		c.lead.keeper.renewNow(life)
+	}
+}
--- /dev/null
+++ b/internal/process/coordinator/leader.go
@@ -0,0 +1,455 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+const (
+	// authority is how long a leader acts after it was last known to be the one:
+	// by the store, or by a majority of the other VMs.
+	authority = 2 * time.Second
+	// probeEvery is the interval of the leader's probes of the store.
+	probeEvery = 500 * time.Millisecond
+	// probeTimeout bounds a probe.
+	probeTimeout = 600 * time.Millisecond
+	// storeLostAfter is the time without an answer of the store after which the
+	// leader asks for another.
+	storeLostAfter = 900 * time.Millisecond
+	// confirmEvery is the interval at which a leader without a majority reads
+	// the record.
+	confirmEvery = 500 * time.Millisecond
+	// memberGone is the time after which a VM that does not report is forgotten.
+	memberGone = 4 * time.Second
+	// resendAfter is the time after which a part is sent again that a VM does
+	// not report.
+	resendAfter = 700 * time.Millisecond
+	// writeTimeout bounds a write of the record.
+	writeTimeout = 1500 * time.Millisecond
+	// writeRetry is the pause after a write of the record that failed.
+	writeRetry = 200 * time.Millisecond
+)
+
+// leadership is the state of a VM while it leads.
+type leadership struct {
+	record   fleet.Record
+	revision int64
+	keeper   *keeper
+	members  map[string]*member
+	versions *peerv1.PartVersions
+	// encoded is the configuration as it is sent.
+	encoded []byte
+
+	// confirmedAt is when the store last showed that this VM leads.
+	confirmedAt time.Time
+	confirmAt   time.Time
+	confirming  bool
+	// since is when the leadership began.
+	since time.Time
+
+	storeHeardAt time.Time
+	probeAt      time.Time
+	probing      bool
+	storeLost    bool
+
+	declarationsChanged bool
+	writing             bool
+	planAt              time.Time
+}
+
+// member is what the leader knows of another VM.
+type member struct {
+	fleet.Member
+	heardAt time.Time
+	term    uint64
+	leaving bool
+	// sent are the versions that were last sent, at sentAt.
+	sent   *peerv1.PartVersions
+	sentAt time.Time
+}
+
+// takeOver writes this VM into the record and leads if that succeeds. yielded
+// is set if the former leader asked for it.
+func (c *Coordinator) takeOver(former *fleet.Record, revision int64, why string, yielded bool) {
+	record := *former
+	record.Term++
+	record.Leader = c.config.Self
+	record.Write = 1
+	c.looking = true
+	go func() {
+		version, err := c.writeRecord(&record, revision)
+		c.config.Loop.Post(func() {
+			c.looking = false
+			if err != nil {
+				events.TakeoverFailed.Log(c.config.Logger).Uint64("term", record.Term).Str("reason", why).Err(err).Send()
+				return
+			}
+			c.lead = newLeadership(record, version, former.Term == 0, c.view, time.Now())
+			c.beginLeading(why, former)
+		})
+	}()
+}
+
+func newLeadership(record fleet.Record, revision int64, first bool, view *fleet.View, now time.Time) *leadership {
+	heldBefore := now.Add(authority + time.Duration(float64(usualHold)*(1+clockSlack)) + holdMargin)
+	if first {
+		heldBefore = now
+	}
+	l := &leadership{
+		record: record, revision: revision, keeper: newKeeper(record.Slices, heldBefore),
+		members: map[string]*member{}, versions: &peerv1.PartVersions{Term: record.Term, Slices: 1, Members: 1},
+		confirmedAt: now, confirmAt: now, since: now, storeHeardAt: now,
+	}
+	for name, m := range view.Members {
+		if name != record.Leader.VM {
+			l.members[name] = &member{Member: m, heardAt: now, sent: &peerv1.PartVersions{}}
+		}
+	}
+	return l
+}
+
+// beginLeading starts the leader's work.
+func (c *Coordinator) beginLeading(why string, former *fleet.Record) {
+	l := c.lead
+	events.LeadershipTaken.Log(c.config.Logger).Uint64("term", l.record.Term).Int64("revision", l.revision).
+		Str("reason", why).Str("leader_before", former.Leader.VM).Int("members", len(l.members)).Send()
+	if !c.observer.Watching() {
+		c.observer.Seed(c.view)
+		c.observer.Start(c.ctx)
+	}
+	view := *c.view
+	view.Term, view.Leader = l.record.Term, c.config.Self
+	c.publish(&view)
+	l.declarationsChanged = true
+	c.leadTick(time.Now())
+	c.pushAll()
+}
+
+// stepDown ends the leadership.
+func (c *Coordinator) stepDown(why string) {
+	if c.lead == nil {
+		return
+	}
+	events.LeadershipLost.Log(c.config.Logger).Uint64("term", c.lead.record.Term).Str("reason", why).Send()
+	c.lead = nil
+	c.observer.Stop()
+	c.heardAt = time.Now().Add(-silentAfter)
+	c.lookAt = time.Time{}
+	c.yielding = false
+}
+
+// leadTick does the leader's work that depends on time.
+func (c *Coordinator) leadTick(now time.Time) {
+	l := c.lead
+	if c.observer.Tick(now) {
+		l.declarationsChanged = true
+	}
+	c.dropMembers(now)
+	c.probeStore(now)
+	c.confirm(now)
+	if l.declarationsChanged {
+		l.declarationsChanged = false
+		c.publishDeclared(now)
+	}
+	c.keepKeys(now)
+}
+
+// publishDeclared passes on what the watches have brought.
+func (c *Coordinator) publishDeclared(now time.Time) {
+	l := c.lead
+	view := *c.view
+	if config := c.observer.Config(); config != nil && (view.Config == nil || config.Version >= view.Config.Version) {
+		if l.encoded == nil || view.Config == nil || config.Version > view.Config.Version {
+			l.encoded = encodeConfig(config)
+			l.versions.Config++
+		}
+		view.Config = config
+	}
+	if c.observer.Complete() {
+		view.Targets, view.Evacuated = c.observer.Targets(), c.observer.Evacuated()
+		l.versions.Targets++
+		c.noteLives(view.Targets)
+	}
+	view.Brokers = c.brokers(view.Config)
+	l.versions.Members++
+	c.publish(&view)
+	c.pushAll()
+}
+
+// noteLives ends the former lives of targets that have started again.
+func (c *Coordinator) noteLives(targets map[string]*fleet.Target) {
+	k := c.lead.keeper
+	for _, list := range k.slices {
+		for _, s := range list {
+			for _, life := range append(append([]fleet.Life(nil), s.From...), s.Owner) {
+				if t := targets[life.ID]; t != nil && t.Born > life.Born {
+					k.ended(life)
+				}
+			}
+		}
+	}
+}
+
+// brokers names the VM that gives out the permits of each service.
+func (c *Coordinator) brokers(config *fleet.Config) map[string]string {
+	brokers := map[string]string{}
+	if config == nil {
+		return brokers
+	}
+	for _, service := range config.Services {
+		brokers[service.Name] = c.config.Self.VM
+	}
+	return brokers
+}
+
+func encodeConfig(config *fleet.Config) []byte {
+	encoded, err := json.Marshal(config)
+	if err != nil {
+		// All fields are plain values.
+		panic(err)
+	}
+	return encoded
+}
+
+// pushAll sends every VM what it lacks.
+func (c *Coordinator) pushAll() {
+	for _, m := range c.lead.members {
+		c.push(m, time.Now())
+	}
+}
+
+// push sends a VM a heartbeat and the parts that it lacks.
+func (c *Coordinator) push(m *member, now time.Time) {
+	l := c.lead
+	state := &peerv1.FleetState{
+		Term: l.record.Term, Leader: identity(c.config.Self), Versions: proto.Clone(l.versions).(*peerv1.PartVersions),
+		StoreLost: l.storeLost, Leaving: c.leaving,
+	}
+	if m.sent.Config < l.versions.Config && l.encoded != nil {
+		state.Config = l.encoded
+	}
+	if m.sent.Targets < l.versions.Targets {
+		state.Targets = targetsToWire(c.view.Targets, c.view.Evacuated, now)
+	}
+	if m.sent.Slices < l.versions.Slices {
+		state.Slices = slicesToWire(l.keeper.slices)
+	}
+	if m.sent.Members < l.versions.Members {
+		state.Members = membersToWire(c.view.Members, c.view.Brokers)
+	}
+	if state.Config != nil || state.Targets != nil || state.Slices != nil || state.Members != nil {
+		m.sent, m.sentAt = state.Versions, now
+	}
+	c.config.Sender.Send(m.VM, &peerv1.Control{Kind: &peerv1.Control_FleetState{FleetState: state}})
+}
+
+// handleReport takes in a VM's report and answers with what it lacks.
+func (c *Coordinator) handleReport(from peer.Peer, report *peerv1.MemberReport) {
+	l := c.lead
+	if l == nil {
+		return
+	}
+	now := time.Now()
+	if report.Term > l.record.Term {
+		c.stepDown("a VM knows a higher term")
+		return
+	}
+	m := l.members[from.VM]
+	if m == nil || m.Incarnation != from.Incarnation {
+		m = &member{Member: fleet.Member{VM: from.VM, Incarnation: from.Incarnation, Address: report.Address}, sent: &peerv1.PartVersions{}}
+		l.members[from.VM] = m
+		c.membersChanged()
+	}
+	m.heardAt, m.term, m.leaving = now, report.Term, report.Leaving
+	have := report.Have
+	if have == nil || have.Term != l.record.Term {
+		have = &peerv1.PartVersions{}
+	}
+	if now.Sub(m.sentAt) > resendAfter {
+		m.sent = proto.Clone(have).(*peerv1.PartVersions)
+	}
+	c.push(m, now)
+}
+
+// membersChanged publishes the VMs that the leader knows.
+func (c *Coordinator) membersChanged() {
+	l := c.lead
+	view := *c.view
+	view.Members = map[string]fleet.Member{c.config.Self.VM: c.config.Self}
+	for name, m := range l.members {
+		view.Members[name] = m.Member
+	}
+	l.versions.Members++
+	c.publish(&view)
+}
+
+func (c *Coordinator) dropMembers(now time.Time) {
+	dropped := false
+	for name, m := range c.lead.members {
+		if now.Sub(m.heardAt) > memberGone {
+			delete(c.lead.members, name)
+			dropped = true
+			events.MemberLost.Log(c.config.Logger).Str("vm", name).Dur("silent", now.Sub(m.heardAt)).Send()
+		}
+	}
+	if dropped {
+		c.membersChanged()
+	}
+}
+
+// mayAct reports whether this VM is known to lead: the store or a majority of
+// the VMs has said so lately.
+func (c *Coordinator) mayAct(now time.Time) bool {
+	l := c.lead
+	return now.Sub(l.confirmedAt) < authority || c.majority(now)
+}
+
+// majority reports whether most VMs follow this one.
+func (c *Coordinator) majority(now time.Time) bool {
+	l := c.lead
+	following := 1
+	for _, m := range l.members {
+		if m.term == l.record.Term && now.Sub(m.heardAt) < authority {
+			following++
+		}
+	}
+	return len(l.members) > 0 && 2*following > len(l.members)+1
+}
+
+// confirm reads the record while there is no majority.
+func (c *Coordinator) confirm(now time.Time) {
+	l := c.lead
+	if l.confirming || l.writing || now.Before(l.confirmAt) || c.majority(now) && !l.writing {
+		return
+	}
+	l.confirming = true
+	l.confirmAt = now.Add(confirmEvery)
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
+		defer cancel()
+		object, err := c.config.Store.Get(ctx, c.config.RecordName)
+		c.config.Loop.Post(func() {
+			if c.lead != l {
+				return
+			}
+			l.confirming = false
+			l.storeContact(err, time.Now())
+			if err == nil && object.Version == l.revision {
+				l.confirmedAt = now
+			} else if err == nil && !l.writing {
+				c.checkOwn(object.Value, object.Version)
+			}
+		})
+	}()
+}
+
+// checkOwn steps down if a record is not this VM's.
+func (c *Coordinator) checkOwn(value []byte, revision int64) {
+	l := c.lead
+	var record fleet.Record
+	if err := json.Unmarshal(value, &record); err != nil || record.Leader.Incarnation != c.config.Self.Incarnation {
+		c.stepDown("the record names another VM")
+		return
+	}
+	if record.Write == l.record.Write {
+		l.revision = revision
+	}
+}
+
+// probeStore keeps in touch with the store.
+func (c *Coordinator) probeStore(now time.Time) {
+	l := c.lead
+	lost := now.Sub(l.storeHeardAt) > storeLostAfter
+	if lost != l.storeLost {
+		l.storeLost = lost
+		events.StoreReach.Log(c.config.Logger).Bool("lost", lost).Dur("silent", now.Sub(l.storeHeardAt)).Send()
+		c.pushAll()
+	}
+	if l.probing || now.Before(l.probeAt) {
+		return
+	}
+	l.probing = true
+	l.probeAt = now.Add(probeEvery)
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
+		defer cancel()
+		err := c.config.Store.Probe(ctx, c.config.RecordName)
+		c.config.Loop.Post(func() {
+			l.probing = false
+			l.storeContact(err, time.Now())
+		})
+	}()
+}
+
+// storeContact notes the result of a call to the store.
+func (l *leadership) storeContact(err error, now time.Time) {
+	if err == nil || fault.Is(err, fault.Conflict) || fault.Is(err, fault.NotFound) {
+		l.storeHeardAt = now
+	}
+}
+
+// writeRecord writes the record and resolves lost answers. A write without an
+// answer may still take effect later, so it is repeated until the store answers
+// or the object has moved on.
+func (c *Coordinator) writeRecord(record *fleet.Record, revision int64) (int64, error) {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return 0, err
+	}
+	for {
+		ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
+		version, err := c.config.Store.Put(ctx, c.config.RecordName, value, revision)
+		cancel()
+		if err == nil || c.ctx.Err() != nil {
+			return version, err
+		}
+		if fault.Is(err, fault.Conflict) {
+			return c.readBack(record, err)
+		}
+		if !fault.Is(err, fault.UnknownOutcome) {
+			return 0, err
+		}
+		time.Sleep(writeRetry)
+	}
+}
+
+// readBack finds out whether a write that was refused had taken effect before.
+func (c *Coordinator) readBack(record *fleet.Record, refused error) (int64, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
+	defer cancel()
+	object, err := c.config.Store.Get(ctx, c.config.RecordName)
+	if err != nil {
+		return 0, fault.Wrap(err, fault.UnknownOutcome, "read the record again", "the record cannot be read back")
+	}
+	var found fleet.Record
+	if err := json.Unmarshal(object.Value, &found); err != nil {
+		return 0, fault.Wrap(err, fault.Invalid, "delete the object", "the record in the store cannot be read")
+	}
+	if found.Leader.Incarnation == record.Leader.Incarnation && found.Term == record.Term && found.Write == record.Write {
+		return object.Version, nil
+	}
+	return 0, refused
+}
+
+// next returns the record with changed slices of one service.
+func (l *leadership) next(service string, list []fleet.Slice, lastFence uint64) fleet.Record {
+	record := l.record
+	record.Write++
+	record.LastFence = lastFence
+	record.Slices = maps.Clone(record.Slices)
+	if record.Slices == nil {
+		record.Slices = map[string][]fleet.Slice{}
+	}
+	record.Slices[service] = list
+	return record
+}
--- /dev/null
+++ b/internal/process/coordinator/member.go
@@ -0,0 +1,276 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+const (
+	// reportEvery is the interval of a VM's reports to the leader; each is
+	// answered, so that both hear of each other.
+	reportEvery = 250 * time.Millisecond
+	// largeFleet is the number of VMs above which reports are half as frequent.
+	largeFleet = 40
+	// askTimeout bounds the question to another VM whether it hears the leader.
+	askTimeout = 250 * time.Millisecond
+	// askCount is the number of VMs that are asked.
+	askCount = 6
+	// watchAfter is the time without a word of the leader after which a VM
+	// watches the store itself.
+	watchAfter = 1100 * time.Millisecond
+)
+
+// followTick reports to the leader, and looks for another if it is silent.
+func (c *Coordinator) followTick(now time.Time) {
+	if c.view.Leader.VM != "" && !now.Before(c.reportAt) {
+		c.report(now)
+	}
+	silent := now.Sub(c.heardAt)
+	if silent < silentAfter && !c.yielding && !c.leaderEnded {
+		if c.observer.Watching() {
+			c.observer.Stop()
+		}
+		c.lookAt = time.Time{}
+		return
+	}
+	if silent > watchAfter && !c.observer.Watching() {
+		c.observer.Seed(c.view)
+		c.observer.Start(c.ctx)
+	}
+	if c.observer.Watching() && c.observer.Tick(now) {
+		c.publishObserved()
+	}
+	if c.lookAt.IsZero() {
+		c.lookAt = now.Add(rankDelay(c.config.Self, c.config.Processor, c.view.Term))
+		c.lookPause = lookMin
+	}
+	if !c.looking && !now.Before(c.lookAt) {
+		c.look(now, silent)
+	}
+}
+
+// report tells the leader of this VM and what it knows.
+func (c *Coordinator) report(now time.Time) {
+	c.reportAt = now.Add(c.reportInterval())
+	c.config.Sender.Send(c.view.Leader.VM, &peerv1.Control{Kind: &peerv1.Control_MemberReport{MemberReport: &peerv1.MemberReport{
+		Term: c.view.Term, Address: c.config.Self.Address, FailureDomain: c.config.FailureDomain,
+		Processor: c.config.Processor, Leaving: c.leaving, Have: c.have,
+	}}})
+}
+
+func (c *Coordinator) reportInterval() time.Duration {
+	if len(c.view.Members) > largeFleet {
+		return 2 * reportEvery
+	}
+	return reportEvery
+}
+
+// handleState takes in what the leader sent.
+func (c *Coordinator) handleState(from peer.Peer, state *peerv1.FleetState) {
+	now := time.Now()
+	if state.Term < c.view.Term || state.Leader == nil {
+		return
+	}
+	if c.lead != nil {
+		if state.Term <= c.lead.record.Term {
+			return
+		}
+		c.stepDown("another VM leads a higher term")
+	}
+	view := *c.view
+	changed := state.Config != nil || state.Targets != nil || state.Slices != nil || state.Members != nil
+	if state.Term > view.Term || view.Leader.Incarnation != state.Leader.Incarnation {
+		changed = true
+		c.have = &peerv1.PartVersions{Term: state.Term}
+		events.LeaderFollowed.Log(c.config.Logger).Uint64("term", state.Term).Str("leader", state.Leader.Vm).
+			Uint64("term_before", view.Term).Str("leader_before", view.Leader.VM).Send()
+	}
+	view.Term = state.Term
+	view.Leader = fleet.Member{VM: state.Leader.Vm, Incarnation: state.Leader.Incarnation, Address: state.Leader.Address}
+	c.heard(now)
+	c.yielding, c.leaderEnded = state.StoreLost || state.Leaving, false
+	if changed {
+		c.takeParts(&view, state, now)
+		c.publish(&view)
+	}
+}
+
+// heard notes a word of the leader.
+func (c *Coordinator) heard(now time.Time) {
+	c.heardAt = now
+	c.heardNanos.Store(now.UnixNano())
+}
+
+// takeParts takes in the parts that a state carries.
+func (c *Coordinator) takeParts(view *fleet.View, state *peerv1.FleetState, now time.Time) {
+	if state.Config != nil {
+		config := &fleet.Config{}
+		if err := json.Unmarshal(state.Config, config); err != nil {
+			c.config.Logger.Warn().Err(err).Msg("the leader's configuration cannot be read")
+		} else {
+			c.have.Config = state.Versions.Config
+			if view.Config == nil || config.Version > view.Config.Version {
+				config.Index()
+				view.Config = config
+				events.ConfigurationInForce.Log(c.config.Logger).Uint64("version", config.Version).Uint64("term", state.Term).Send()
+			}
+		}
+	}
+	if state.Targets != nil {
+		c.have.Targets = state.Versions.Targets
+		view.Targets, view.Evacuated = targetsFromWire(state.Targets, now)
+	}
+	if state.Slices != nil {
+		c.have.Slices = state.Versions.Slices
+		view.Slices = slicesFromWire(state.Slices)
+	}
+	if state.Members != nil {
+		c.have.Members = state.Versions.Members
+		view.Members, view.Brokers = membersFromWire(state.Members)
+	}
+}
+
+// look reads the record and decides whether to follow or to take over.
+func (c *Coordinator) look(now time.Time, silent time.Duration) {
+	c.looking = true
+	known, leader, yielding, ended := c.view, c.view.Leader, c.yielding, c.leaderEnded
+	others := c.others(leader)
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, lookMax)
+		defer cancel()
+		object, err := c.config.Store.Get(ctx, c.config.RecordName)
+		var record *fleet.Record
+		if err == nil {
+			record = &fleet.Record{}
+			if decodeErr := json.Unmarshal(object.Value, record); decodeErr != nil {
+				err = fault.Wrap(decodeErr, fault.Invalid, "delete the object", "the record in the store cannot be read")
+			}
+		}
+		e := evidence{known: len(others), silentFor: silent, yielding: yielding, ended: ended}
+		if record != nil && record.Term == known.Term && record.Leader.Incarnation == leader.Incarnation {
+			e.asked, e.deaf = c.ask(others, known.Term)
+		}
+		if record != nil && !e.ended {
+			e.ended = c.ended(record.Leader)
+		}
+		c.config.Loop.Post(func() { c.looked(record, object.Version, err, e) })
+	}()
+}
+
+// others returns some VMs to ask, without this one and the leader.
+func (c *Coordinator) others(leader fleet.Member) []string {
+	var found []string
+	for vm := range c.view.Members {
+		if vm != c.config.Self.VM && vm != leader.VM {
+			found = append(found, vm)
+		}
+	}
+	return found
+}
+
+// ask returns how many of some VMs answered and how many of those do not hear
+// the leader.
+func (c *Coordinator) ask(others []string, term uint64) (asked, deaf int) {
+	answers := make(chan *peerv1.LeaderQueryReply, askCount)
+	count := min(len(others), askCount)
+	for _, vm := range others[:count] {
+		go func() {
+			ctx, cancel := context.WithTimeout(c.ctx, askTimeout)
+			defer cancel()
+			reply, err := c.config.Sender.Call(ctx, vm, &peerv1.Control{
+				Kind: &peerv1.Control_LeaderQuery{LeaderQuery: &peerv1.LeaderQuery{Term: term}},
+			})
+			if err != nil {
+				answers <- nil
+				return
+			}
+			answers <- reply.GetLeaderQueryReply()
+		}()
+	}
+	for range count {
+		reply := <-answers
+		if reply == nil {
+			continue
+		}
+		asked++
+		if reply.Term == term && (reply.HeardMillisAgo < 0 || reply.HeardMillisAgo > silentAfter.Milliseconds()*3/4) {
+			deaf++
+		}
+	}
+	return asked, deaf
+}
+
+// answerQuery tells how long ago this VM heard its leader.
+func (c *Coordinator) answerQuery() *peerv1.LeaderQueryReply {
+	reply := &peerv1.LeaderQueryReply{Term: c.view.Term, HeardMillisAgo: time.Since(c.heardAt).Milliseconds(), Incarnation: c.config.Self.Incarnation}
+	if c.lead != nil {
+		reply.HeardMillisAgo = 0
+	}
+	return reply
+}
+
+// ended reports whether the process of a leader is gone: its port refuses
+// connections, or another incarnation answers there.
+func (c *Coordinator) ended(leader fleet.Member) bool {
+	if leader.VM == c.config.Self.VM {
+		return leader.Incarnation != c.config.Self.Incarnation
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, askTimeout)
+	defer cancel()
+	reply, err := c.config.Sender.Call(ctx, leader.Address, &peerv1.Control{
+		Kind: &peerv1.Control_LeaderQuery{LeaderQuery: &peerv1.LeaderQuery{}},
+	})
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	incarnation := reply.GetLeaderQueryReply().GetIncarnation()
+	return incarnation != "" && incarnation != leader.Incarnation
+}
+
+// looked acts on a read of the record.
+func (c *Coordinator) looked(record *fleet.Record, revision int64, err error, e evidence) {
+	c.looking = false
+	now := time.Now()
+	c.lookAt = now.Add(c.lookPause)
+	c.lookPause = min(2*c.lookPause, lookMax)
+	switch {
+	case c.lead != nil || c.leaving:
+	case fault.Is(err, fault.NotFound):
+		c.takeOver(&fleet.Record{}, 0, "no-record", false)
+	case err != nil:
+		events.RecordUnreadable.Log(c.config.Logger).Err(err).Uint64("term", c.view.Term).Dur("silent", e.silentFor).Send()
+	case record.Term > c.view.Term && !e.ended:
+		c.follow(record, now)
+	default:
+		may, why := mayTakeOver(e)
+		events.LeaderMissed.Log(c.config.Logger).Uint64("term", record.Term).Str("leader", record.Leader.VM).
+			Dur("silent", e.silentFor).Int("known", e.known).Int("asked", e.asked).Int("deaf", e.deaf).
+			Bool("ended", e.ended).Bool("yielding", e.yielding).Bool("takes_over", may).Str("reason", why).Send()
+		if may {
+			c.takeOver(record, revision, why, e.yielding)
+		}
+	}
+}
+
+// follow turns to the leader that the record names.
+func (c *Coordinator) follow(record *fleet.Record, now time.Time) {
+	view := *c.view
+	view.Term, view.Leader = record.Term, record.Leader
+	c.have = &peerv1.PartVersions{Term: record.Term}
+	c.yielding, c.leaderEnded = false, false
+	if c.heardAt.Before(now.Add(-silentAfter)) {
+		// The new leader gets the time of a silent one to answer.
+		c.heardAt = now.Add(-silentAfter / 2)
+	}
+	c.publish(&view)
+	c.report(now)
+}
--- a/internal/process/daemon/build.go
+++ b/internal/process/daemon/build.go
@@ -24,7 +24,7 @@
 
 // build opens the listeners and makes the parts, each with what it depends on.
 func (d *Daemon) build(platform store.Store) error {
-	d.metrics = newMetrics(d.settings)
+	d.metrics = NewMetrics(d.settings.VM, d.settings.FailureDomain)
 	if err := d.buildTransport(); err != nil {
 		return err
 	}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -39,7 +39,7 @@
 	settings *settings.Settings
 	self     routing.VM
 	logger   zerolog.Logger
-	metrics  *metrics
+	metrics  *Metrics
 
 	loop         *loop.Loop
 	transport    *peer.Transport
--- a/internal/process/daemon/metrics.go
+++ b/internal/process/daemon/metrics.go
@@ -8,33 +8,32 @@
 	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
-
-	"github.com/chestnutcourse/chestnutcourse/internal/process/settings"
 )
 
 // metricsInterval is the interval at which tally passes values to its reporter.
 const metricsInterval = time.Second
 
-// metrics are the measurements of one process, in the Prometheus form.
-type metrics struct {
+// Metrics are the measurements of one process, in the Prometheus form.
+type Metrics struct {
 	Scope    tally.Scope
 	reporter prometheus.Reporter
 	closer   io.Closer
 }
 
-func newMetrics(s *settings.Settings) *metrics {
+// NewMetrics returns the measurements of a VM.
+func NewMetrics(vm, failureDomain string) *Metrics {
 	// A registry of its own, since several daemons may run in one process.
 	registry := client.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "chestnutcourse", Separator: prometheus.DefaultSeparator, CachedReporter: reporter,
-		Tags: map[string]string{"vm": s.VM, "failure_domain": s.FailureDomain},
+		Tags: map[string]string{"vm": vm, "failure_domain": failureDomain},
 	}, metricsInterval)
-	return &metrics{Scope: scope, reporter: reporter, closer: closer}
+	return &Metrics{Scope: scope, reporter: reporter, closer: closer}
 }
 
 // Handler serves the metrics.
-func (m *metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
+func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
 
 // Close ends the reporting.
-func (m *metrics) Close() error { return m.closer.Close() }
+func (m *Metrics) Close() error { return m.closer.Close() }
--- a/internal/process/events/configuration.go
+++ b/internal/process/events/configuration.go
@@ -28,3 +28,18 @@
 	ManifestRefused  = register(6202, "manifest-refused", zerolog.WarnLevel, "An operator's change of the manifest was refused.")
 	ManifestUnknown  = register(6203, "manifest-unknown", zerolog.WarnLevel, "It is not known whether an operator's change was accepted; submitting it again with the same operation id is safe.")
 )
+
+// Events of what the platform declares.
+var (
+	ConfigurationObserved = register(6301, "configuration-observed", zerolog.InfoLevel, "The leader has read a new version of the configuration from the store.")
+	DeclarationInvalid    = register(6302, "declaration-invalid", zerolog.WarnLevel, "An object in the store cannot be read; it is ignored, the others hold.")
+	TargetObserved        = register(6303, "target-observed", zerolog.InfoLevel, "A target's entry is new, of a new life of the target, or says that it is leaving.")
+	TargetGone            = register(6304, "target-gone", zerolog.InfoLevel, "A target's entry is missing; the target gets no new requests and its keys go to others.")
+	DomainTakenOut        = register(6305, "domain-taken-out", zerolog.InfoLevel, "A failure domain is to get no requests until it is restored.")
+	DomainRestored        = register(6306, "domain-restored", zerolog.InfoLevel, "A failure domain takes requests again; its targets count as cold for a while.")
+)
+
+// Events of a VM that follows the leader.
+var (
+	ConfigurationInForce = register(6307, "configuration-in-force", zerolog.InfoLevel, "This VM routes by a new version of the configuration.")
+)
--- a/internal/process/events/ownership.go
+++ b/internal/process/events/ownership.go
@@ -20,3 +20,19 @@
 	TenureEnded         = register(4014, "tenure-ended", zerolog.InfoLevel, "This VM does not dispatch to a target any more.")
 	MovePostponed       = register(4015, "move-postponed", zerolog.InfoLevel, "Requests in flight did not end in time for a planned move; the owner goes on and the move is tried again.")
 )
+
+// Events of the leader and of the keys that it gives to targets.
+var (
+	LeadershipTaken  = register(4101, "leadership-taken", zerolog.InfoLevel, "This VM is the leader; the record in the store names it.")
+	LeadershipLost   = register(4102, "leadership-lost", zerolog.InfoLevel, "This VM leads no longer; it sends no more orders.")
+	LeaderFollowed   = register(4103, "leader-followed", zerolog.InfoLevel, "This VM follows another leader than before.")
+	LeaderMissed     = register(4104, "leader-missed", zerolog.InfoLevel, "This VM does not hear the leader and has read the record; the line has what it decided and why.")
+	TakeoverFailed   = register(4105, "takeover-failed", zerolog.InfoLevel, "This VM could not write itself into the record; another VM was first, or the store did not answer.")
+	RecordUnreadable = register(4106, "record-unreadable", zerolog.WarnLevel, "This VM does not hear a leader and cannot read the record.")
+	MemberLost       = register(4107, "member-lost", zerolog.InfoLevel, "The leader has not heard a VM for some seconds and forgets it.")
+	StoreReach       = register(4108, "store-reach", zerolog.WarnLevel, "The leader has lost or regained the store.")
+	MovePlanned      = register(4110, "move-planned", zerolog.InfoLevel, "Keys are to move to another owner; the move is in the record.")
+	MovesNotWritten  = register(4111, "moves-not-written", zerolog.WarnLevel, "Moves could not be written into the record and did not begin.")
+	OrderDone        = register(4112, "order-done", zerolog.InfoLevel, "A target has answered a grant or a release, or failed to. Renewals without news are not logged.")
+	GrantsRanOut     = register(4113, "grants-ran-out", zerolog.InfoLevel, "A former owner did not answer; its grants have run out, so the keys go to the next owner.")
+)
--- a/internal/process/events/routing.go
+++ b/internal/process/events/routing.go
@@ -18,3 +18,12 @@
 	PeerSessionRefused = register(2052, "peer-session-refused", zerolog.WarnLevel, "An incoming connection did not become a session.")
 	PeerUnreachable    = register(2053, "peer-unreachable", zerolog.WarnLevel, "A dial to another VM failed; it is tried again after a delay.")
 )
+
+// Events of requests on VMs whose targets check fences themselves.
+var (
+	RequestAnswered   = register(2101, "request-answered", zerolog.InfoLevel, "A caller got a target's answer.")
+	RequestTurnedAway = register(2102, "request-turned-away", zerolog.WarnLevel, "A request was refused as not run; the line has the reason and when the caller may come back.")
+	RequestFailed     = register(2103, "request-failed", zerolog.WarnLevel, "A request got a status of this VM's own that does not say that it was not run.")
+	AttemptFailed     = register(2104, "attempt-failed", zerolog.InfoLevel, "An attempt at a target brought no answer; the line has the result and whether the request may have run.")
+	CallerLeft        = register(2105, "caller-left", zerolog.InfoLevel, "A caller closed its connection before it had its answer.")
+)
--- /dev/null
+++ b/internal/process/observer/observer.go
@@ -0,0 +1,362 @@
+// Package observer watches what the platform declares: the configuration, the
+// targets and the failure domains that are taken out.
+//
+// Guarantees: the configuration never goes back to a lower version; an entry
+// that cannot be read changes nothing else; a target whose entry is missing
+// after an outage of the store counts as gone only once the entry had time to
+// come back.
+package observer
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/loop"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/store"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+const (
+	// returnTime is how long entries take to come back after an outage of the
+	// store: about two seconds by the platform's word.
+	returnTime = 2300 * time.Millisecond
+	// forgetGone is how long a target that is gone is remembered, so that its
+	// keys can be taken back from it.
+	forgetGone = 30 * time.Second
+)
+
+// Names are the prefixes of the watched objects and how they are read.
+type Names struct {
+	Config, Targets, Evacuations string
+	DecodeConfig                 func(store.Object) (*fleet.Config, error)
+	DecodeTarget                 func(store.Object, time.Time) (*fleet.Target, error)
+	DecodeEvacuation             func(store.Object) string
+}
+
+// Config configures an Observer.
+type Config struct {
+	Names   Names
+	Store   store.Store
+	Loop    *loop.Loop
+	Logger  *zerolog.Logger
+	Changed func()
+	// Contact is called on the loop after each call to the store.
+	Contact func(error)
+}
+
+// Observer keeps what was declared. Its methods run on the loop.
+type Observer struct {
+	config Config
+	cancel context.CancelFunc
+	// listed are the prefixes that have been listed since the start.
+	listed map[string]bool
+
+	current   *fleet.Config
+	targets   map[string]*fleet.Target
+	goneAt    map[string]time.Time
+	evacuated map[string]bool
+	// evacuationEnded is when the evacuation of a failure domain ended.
+	evacuationEnded map[string]time.Time
+	// trustGoneFrom is until when missing entries may still come back.
+	trustGoneFrom time.Time
+	// outage is set while the last call to the store has failed.
+	outage bool
+	// missing are targets whose entries are absent but may come back.
+	missing map[string]bool
+}
+
+// New returns an observer that watches nothing yet.
+func New(config Config) *Observer {
+	return &Observer{
+		config: config, listed: map[string]bool{}, targets: map[string]*fleet.Target{}, goneAt: map[string]time.Time{},
+		evacuated: map[string]bool{}, evacuationEnded: map[string]time.Time{}, missing: map[string]bool{},
+	}
+}
+
+// Watching reports whether the watches run.
+func (o *Observer) Watching() bool { return o.cancel != nil }
+
+// Complete reports whether everything has been listed since the start.
+func (o *Observer) Complete() bool { return len(o.listed) == 3 && o.current != nil }
+
+// Seed takes over what another VM knew, before the watches run.
+func (o *Observer) Seed(view *fleet.View) {
+	if view.Config != nil && (o.current == nil || view.Config.Version > o.current.Version) {
+		o.current = view.Config
+	}
+	for id, t := range view.Targets {
+		if known := o.targets[id]; known == nil || known.Born < t.Born {
+			copied := *t
+			o.targets[id] = &copied
+		}
+	}
+	for domain := range view.Evacuated {
+		o.evacuated[domain] = true
+	}
+}
+
+// Start begins the watches.
+func (o *Observer) Start(ctx context.Context) {
+	if o.cancel != nil {
+		return
+	}
+	ctx, o.cancel = context.WithCancel(ctx)
+	o.follow(ctx, o.config.Names.Config, o.configListed, o.configChanged)
+	o.follow(ctx, o.config.Names.Targets, o.targetsListed, o.targetsChanged)
+	o.follow(ctx, o.config.Names.Evacuations, o.evacuationsListed, o.evacuationsChanged)
+}
+
+// Stop ends the watches.
+func (o *Observer) Stop() {
+	if o.cancel == nil {
+		return
+	}
+	o.cancel()
+	o.cancel = nil
+	clear(o.listed)
+}
+
+func (o *Observer) follow(ctx context.Context, prefix string, listed, changed func([]store.Object)) {
+	post := func(f func()) {
+		o.config.Loop.Post(func() {
+			if ctx.Err() == nil {
+				f()
+			}
+		})
+	}
+	go store.Follow(ctx, o.config.Store, prefix, store.Follower{
+		Listed: func(objects []store.Object) {
+			post(func() { o.listed[prefix] = true; listed(objects); o.config.Changed() })
+		},
+		Changed: func(objects []store.Object) { post(func() { changed(objects); o.config.Changed() }) },
+		Contact: func(err error) { post(func() { o.contact(err) }) },
+	})
+}
+
+// contact notes the result of a call to the store. After an outage, entries
+// that are missing may still come back.
+func (o *Observer) contact(err error) {
+	switch {
+	case err == nil && o.outage:
+		o.outage = false
+		o.trustGoneFrom = time.Now().Add(returnTime)
+	case fault.Is(err, fault.Unavailable):
+		o.outage = true
+	}
+	o.config.Contact(err)
+}
+
+// Tick settles what depends on time and reports whether anything changed.
+func (o *Observer) Tick(now time.Time) bool {
+	changed := false
+	if len(o.missing) > 0 && !o.outage && now.After(o.trustGoneFrom) {
+		for id := range o.missing {
+			o.gone(id, now)
+		}
+		clear(o.missing)
+		changed = true
+	}
+	for id, at := range o.goneAt {
+		if now.Sub(at) > forgetGone {
+			delete(o.goneAt, id)
+			delete(o.targets, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Config returns the configuration, or nil.
+func (o *Observer) Config() *fleet.Config { return o.current }
+
+// Targets returns a copy of the targets.
+func (o *Observer) Targets() map[string]*fleet.Target {
+	copied := make(map[string]*fleet.Target, len(o.targets))
+	for id, t := range o.targets {
+		copied[id] = t
+	}
+	return copied
+}
+
+// Evacuated returns a copy of the failure domains that are taken out.
+func (o *Observer) Evacuated() map[string]bool {
+	copied := make(map[string]bool, len(o.evacuated))
+	for domain := range o.evacuated {
+		copied[domain] = true
+	}
+	return copied
+}
+
+func (o *Observer) configListed(objects []store.Object) { o.configChanged(objects) }
+
+func (o *Observer) configChanged(objects []store.Object) {
+	for _, object := range objects {
+		if object.Deleted {
+			continue
+		}
+		config, err := o.config.Names.DecodeConfig(object)
+		if err != nil {
+			events.DeclarationInvalid.Log(o.config.Logger).Str("object", object.Name).Err(err).Send()
+			continue
+		}
+		if o.current != nil && config.Version <= o.current.Version {
+			continue
+		}
+		o.current = config
+		events.ConfigurationObserved.Log(o.config.Logger).Uint64("version", config.Version).
+			Int("routes", len(config.Routes)).Int64("revision", object.Version).Send()
+	}
+}
+
+func (o *Observer) targetsListed(objects []store.Object) {
+	present := map[string]bool{}
+	for _, object := range objects {
+		if t := o.target(object); t != nil {
+			present[t.ID] = true
+		}
+	}
+	for id := range o.targets {
+		if !present[id] {
+			o.absent(id)
+		}
+	}
+}
+
+func (o *Observer) targetsChanged(objects []store.Object) {
+	for _, object := range objects {
+		if object.Deleted {
+			o.absent(object.Name[len(o.config.Names.Targets):])
+			continue
+		}
+		o.target(object)
+	}
+}
+
+// target takes in one entry and returns its target; nil if it names none.
+func (o *Observer) target(object store.Object) *fleet.Target {
+	now := time.Now()
+	t, err := o.config.Names.DecodeTarget(object, now)
+	if err != nil {
+		events.DeclarationInvalid.Log(o.config.Logger).Str("object", object.Name).Err(err).Send()
+		return nil
+	}
+	known := o.targets[t.ID]
+	if known != nil && known.Born > t.Born {
+		return nil
+	}
+	if known == nil || known.Life != t.Life || known.Leaving != t.Leaving {
+		events.TargetObserved.Log(o.config.Logger).Str("target", t.ID).Int64("born", t.Born).Str("service", t.Service).
+			Str("address", t.Address).Bool("leaving", t.Leaving).Dur("cold", time.Until(t.ColdUntil)).Int64("revision", object.Version).Send()
+	}
+	if ended, ok := o.evacuationEnded[t.FailureDomain]; ok && known != nil && known.Life == t.Life {
+		t.ColdUntil = later(t.ColdUntil, o.coldAfter(t, ended))
+	}
+	delete(o.missing, t.ID)
+	delete(o.goneAt, t.ID)
+	o.targets[t.ID] = t
+	return t
+}
+
+// absent handles a missing entry.
+func (o *Observer) absent(id string) {
+	if o.targets[id] == nil || !o.goneAt[id].IsZero() {
+		return
+	}
+	now := time.Now()
+	if o.outage || now.Before(o.trustGoneFrom) {
+		o.missing[id] = true
+		return
+	}
+	o.gone(id, now)
+}
+
+// gone marks a target whose entry has been removed. It is remembered for a
+// while, since it may still hold keys.
+func (o *Observer) gone(id string, now time.Time) {
+	t := o.targets[id]
+	if t == nil {
+		return
+	}
+	copied := *t
+	copied.Leaving = true
+	o.targets[id] = &copied
+	o.goneAt[id] = now
+	events.TargetGone.Log(o.config.Logger).Str("target", id).Int64("born", t.Born).Str("service", t.Service).Send()
+}
+
+func (o *Observer) evacuationsListed(objects []store.Object) {
+	present := map[string]bool{}
+	for _, object := range objects {
+		present[o.config.Names.DecodeEvacuation(object)] = true
+	}
+	for domain := range o.evacuated {
+		if !present[domain] {
+			o.restore(domain)
+		}
+	}
+	for domain := range present {
+		o.evacuate(domain)
+	}
+}
+
+func (o *Observer) evacuationsChanged(objects []store.Object) {
+	for _, object := range objects {
+		domain := o.config.Names.DecodeEvacuation(object)
+		if object.Deleted {
+			o.restore(domain)
+		} else {
+			o.evacuate(domain)
+		}
+	}
+}
+
+func (o *Observer) evacuate(domain string) {
+	if o.evacuated[domain] {
+		return
+	}
+	o.evacuated[domain] = true
+	events.DomainTakenOut.Log(o.config.Logger).Str("failure_domain", domain).Send()
+}
+
+// restore ends the evacuation of a failure domain. Its targets may have become
+// cold meanwhile, before their entries say so.
+func (o *Observer) restore(domain string) {
+	if !o.evacuated[domain] {
+		return
+	}
+	delete(o.evacuated, domain)
+	now := time.Now()
+	o.evacuationEnded[domain] = now
+	for id, t := range o.targets {
+		if t.FailureDomain != domain {
+			continue
+		}
+		copied := *t
+		copied.ColdUntil = later(copied.ColdUntil, o.coldAfter(t, now))
+		o.targets[id] = &copied
+	}
+	events.DomainRestored.Log(o.config.Logger).Str("failure_domain", domain).Send()
+}
+
+// coldAfter is when a target stops being cold that turned cold at a time.
+func (o *Observer) coldAfter(t *fleet.Target, from time.Time) time.Time {
+	if o.current == nil {
+		return from
+	}
+	service := o.current.Service(t.Service)
+	if service == nil {
+		return from
+	}
+	return from.Add(service.Cold)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/request/admission/pool.go
@@ -0,0 +1,521 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+const (
+	// retrySoon is the shortest time after which a refused caller may return.
+	retrySoon = 30 * time.Millisecond
+	// permitGrace is how long after its deadline a permit is given up whose end
+	// was not reported.
+	permitGrace = 500 * time.Millisecond
+	// transit is the time that a request spends between entry, broker and target.
+	transit = 6 * time.Millisecond
+	// workPrior is the assumed work of a class as a share of its aim, until it
+	// has been measured.
+	workPrior = 0.3
+	// overload is the utilisation above which a request that will miss its aim
+	// is refused on arrival instead of queued.
+	overload = 0.95
+	// crossDomain is how much quicker a target in another failure domain must be
+	// to be preferred.
+	crossDomain = 4 * time.Millisecond
+	// localShare is the share of the spare time before its aim that a large
+	// request waits for a target of its own failure domain.
+	localShare = 0.5
+	// failurePenalty multiplies the expected time of a target that always fails.
+	failurePenalty = 5
+	// crowding is the rise of the service time of a target that is nearly full.
+	crowding = 0.2
+)
+
+func halve(halfLives float64) float64 { return math.Exp2(-halfLives) }
+
+// pool holds the targets and queues of one service.
+type pool struct {
+	broker  *Broker
+	name    string
+	service *fleet.Service
+	targets map[string]*target
+	// shared is the queue of a service without keys; owners are those of a keyed one.
+	shared *queue
+	owners map[string]*queue
+	slices []fleet.Slice
+	// waiting finds the queue of a waiting request.
+	waiting map[ID]*queue
+	// work is the mean work of a class in seconds.
+	work    map[string]float64
+	repeats *repeats
+}
+
+func newPool(b *Broker, name string) *pool {
+	return &pool{
+		broker: b, name: name, targets: map[string]*target{}, shared: &queue{}, owners: map[string]*queue{},
+		waiting: map[ID]*queue{}, work: map[string]float64{}, repeats: newRepeats(b.config.Budget),
+	}
+}
+
+// update follows a view. Measurements of a target end with its life.
+func (p *pool) update(service *fleet.Service, view *fleet.View, now time.Time) {
+	p.service = service
+	p.slices = view.Slices[service.Name]
+	for id, t := range p.targets {
+		if declared := view.Targets[id]; declared == nil || declared.Life != t.Life || declared.Service != p.name {
+			delete(p.targets, id)
+		}
+	}
+	for id, declared := range view.Targets {
+		if declared.Service != p.name {
+			continue
+		}
+		t := p.targets[id]
+		if t == nil {
+			t = newTarget(declared, now)
+			p.targets[id] = t
+		}
+		t.Target = *declared
+		t.usable = view.Usable(declared)
+	}
+	if service.Keyed {
+		p.requeue(now)
+	}
+}
+
+// queueOf returns the queue of an owner.
+func (p *pool) queueOf(owner string) *queue {
+	q := p.owners[owner]
+	if q == nil {
+		q = &queue{}
+		p.owners[owner] = q
+	}
+	return q
+}
+
+// requeue moves waiting requests to the queues of the present owners.
+func (p *pool) requeue(now time.Time) {
+	for owner, q := range p.owners {
+		kept := q.waiters[:0]
+		var moved []*Request
+		for _, r := range q.waiters {
+			if p.ownerID(r.Key) == owner {
+				kept = append(kept, r)
+			} else {
+				moved = append(moved, r)
+			}
+		}
+		q.waiters = kept
+		for _, r := range moved {
+			delete(p.waiting, r.ID)
+			p.enqueue(r)
+		}
+		if len(q.waiters) == 0 && p.targets[owner] == nil {
+			delete(p.owners, owner)
+		}
+	}
+}
+
+// ownerID names the queue for a key; empty while nobody owns it.
+func (p *pool) ownerID(key uint16) string {
+	if slice := fleet.Find(p.slices, key); slice != nil {
+		return slice.Owner.ID
+	}
+	return ""
+}
+
+// owner returns the target that serves a key now, or nil.
+func (p *pool) owner(key uint16) *target {
+	slice := fleet.Find(p.slices, key)
+	if slice == nil || !slice.Ready {
+		return nil
+	}
+	t := p.targets[slice.Owner.ID]
+	if t == nil || t.Life != slice.Owner {
+		return nil
+	}
+	return t
+}
+
+func (p *pool) enqueue(r *Request) {
+	q := p.shared
+	if p.service.Keyed {
+		q = p.queueOf(p.ownerID(r.Key))
+	}
+	q.push(r)
+	p.waiting[r.ID] = q
+}
+
+// classWork returns the mean work of a class in seconds; aim is used until it
+// has been measured.
+func (p *pool) classWork(class string, aim time.Duration) float64 {
+	work := p.work[class]
+	if work == 0 && aim > 0 {
+		work = workPrior * aim.Seconds()
+		p.work[class] = work
+	}
+	return work
+}
+
+// takes returns the expected time of a request at a target.
+func (p *pool) takes(r *Request, t *target, now time.Time) time.Duration {
+	work := p.classWork(r.Class, r.Aim.Sub(r.arrived))
+	crowded := 1 + crowding*float64(t.running)/float64(max(t.Slots, 1))
+	return seconds(work*t.relativeTime(now)*crowded) + transit
+}
+
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+
+// ask decides a request or queues it.
+func (p *pool) ask(r *Request, now time.Time) {
+	if r.Repeat && (p.broker.config.Cautious || !p.repeats.allow(now)) {
+		p.refuse(r, BudgetSpent, retrySoon, now)
+		return
+	}
+	if !r.Repeat {
+		p.repeats.first(now)
+	}
+	q := p.shared
+	if p.service.Keyed {
+		q = p.queueOf(p.ownerID(r.Key))
+	}
+	q.arrive(p.classWork(r.Class, r.Aim.Sub(now)), now)
+	p.setLocal(r, now)
+	if len(q.waiters) == 0 {
+		if t := p.choose(r, now); t != nil {
+			p.permit(r, t, now)
+			return
+		}
+	}
+	if wait, ok := p.servable(q, r, now); !ok {
+		reason := WouldBeLate
+		if !p.anyTarget(r) {
+			reason = NoTarget
+		}
+		p.refuse(r, reason, wait, now)
+		return
+	}
+	p.enqueue(r)
+	p.dispatch(q, now)
+}
+
+// setLocal keeps a large request in its own failure domain for a while.
+func (p *pool) setLocal(r *Request, now time.Time) {
+	if !r.Large || p.service.Keyed {
+		return
+	}
+	work := seconds(p.classWork(r.Class, r.Aim.Sub(now)))
+	spare := r.Aim.Sub(now) - work
+	if spare <= 0 {
+		return
+	}
+	for _, t := range p.targets {
+		if t.usable && t.FailureDomain == r.Domain && !t.refused && now.After(t.pausedUntil) {
+			r.localUntil = now.Add(time.Duration(localShare * float64(spare)))
+			return
+		}
+	}
+}
+
+// anyTarget reports whether any target could serve the request at some time.
+func (p *pool) anyTarget(r *Request) bool {
+	if p.service.Keyed {
+		return p.ownerID(r.Key) != ""
+	}
+	for _, t := range p.targets {
+		if t.usable {
+			return true
+		}
+	}
+	return false
+}
+
+// open reports whether the target may start a request now.
+func (p *pool) open(t *target, now time.Time) bool {
+	if !t.usable || t.running >= t.Slots || now.Before(t.pausedUntil) {
+		return false
+	}
+	if !t.cold(now) {
+		return true
+	}
+	return !p.broker.config.Cautious && !t.coldRoom(p.coldLimit(), now).After(now)
+}
+
+// coldLimit is the number of starts at a cold target within coldWindow.
+func (p *pool) coldLimit() int {
+	allowed := p.service.ColdRate*p.broker.config.ColdFactor + p.broker.config.ColdAllowance
+	return max(int(coldShare*min(allowed, p.service.ColdRate*p.broker.config.ColdFactor)), 1)
+}
+
+// choose returns the target for a request that would run now, or nil.
+func (p *pool) choose(r *Request, now time.Time) *target {
+	if p.service.Keyed {
+		if t := p.owner(r.Key); t != nil && p.open(t, now) {
+			return t
+		}
+		return nil
+	}
+	var best *target
+	var bestCost time.Duration
+	for _, t := range p.targets {
+		if !p.open(t, now) || !p.fits(r, t, now) {
+			continue
+		}
+		if cost := p.cost(r, t, now); best == nil || cost < bestCost {
+			best, bestCost = t, cost
+		}
+	}
+	if best != nil && !p.worthwhile(r, best, now) {
+		return nil
+	}
+	return best
+}
+
+// fits reports whether a request may go to a target at all.
+func (p *pool) fits(r *Request, t *target, now time.Time) bool {
+	if slices.Contains(r.Exclude, t.ID) {
+		return false
+	}
+	return t.FailureDomain == r.Domain || !now.Before(r.localUntil)
+}
+
+// cost ranks the targets for a request.
+func (p *pool) cost(r *Request, t *target, now time.Time) time.Duration {
+	cost := time.Duration(float64(p.takes(r, t, now)) * (1 + failurePenalty*t.failures))
+	if t.FailureDomain != r.Domain {
+		cost += crossDomain
+	}
+	return cost
+}
+
+// worthwhile reports whether a request should run at a target now, rather than
+// wait for a quicker one: it is if it meets its aim there, or if no target that
+// is in use would meet it.
+func (p *pool) worthwhile(r *Request, t *target, now time.Time) bool {
+	if !now.Add(p.takes(r, t, now)).After(r.Aim) {
+		return true
+	}
+	for _, other := range p.targets {
+		if other != t && other.usable && now.After(other.pausedUntil) && p.fits(r, other, now) &&
+			!now.Add(p.takes(r, other, now)).After(r.Aim) {
+			return false
+		}
+	}
+	return !now.Add(p.takes(r, t, now)).After(r.Deadline)
+}
+
+// permit lets a request run.
+func (p *pool) permit(r *Request, t *target, now time.Time) {
+	t.running++
+	if t.cold(now) {
+		t.starts = append(t.starts, now)
+	}
+	p.broker.permits[r.ID] = &permit{pool: p, target: t, request: *r, at: now}
+	if r.Repeat {
+		p.repeats.spend(now)
+	}
+	p.broker.config.Decide(Decision{ID: r.ID, Target: t.Life, Waited: now.Sub(r.arrived)})
+}
+
+func (p *pool) refuse(r *Request, reason Reason, after time.Duration, now time.Time) {
+	after = max(after, retrySoon)
+	if third := r.Deadline.Sub(now) / 3; third > retrySoon {
+		after = min(after, third)
+	}
+	p.broker.config.Decide(Decision{ID: r.ID, Refused: reason, RetryAfter: after, Waited: now.Sub(r.arrived)})
+}
+
+// capacity returns the slots of the targets behind a queue and the mean time
+// that one request holds a slot.
+func (p *pool) capacity(q *queue, r *Request, now time.Time) (slots int, each time.Duration) {
+	if p.service.Keyed {
+		t := p.targets[p.ownerID(r.Key)]
+		if t == nil || !t.usable {
+			return 0, 0
+		}
+		return t.Slots, p.takes(r, t, now)
+	}
+	rate := 0.0
+	for _, t := range p.targets {
+		if t.usable && now.After(t.pausedUntil) {
+			slots += t.Slots
+			rate += float64(t.Slots) / p.takes(r, t, now).Seconds()
+		}
+	}
+	if slots == 0 {
+		return 0, 0
+	}
+	return slots, seconds(float64(slots) / rate)
+}
+
+// servable reports whether a request that must wait can be answered before its
+// deadline, and how long it would wait.
+func (p *pool) servable(q *queue, r *Request, now time.Time) (time.Duration, bool) {
+	slots, each := p.capacity(q, r, now)
+	if slots == 0 {
+		// The keys are on their way to another owner, or the targets are: most
+		// moves take less than the time of one request.
+		return seconds(p.classWork(r.Class, r.Aim.Sub(now))), p.service.Keyed && p.anyTarget(r)
+	}
+	perRequest := time.Duration(float64(each) / float64(slots))
+	wait := time.Duration(q.position(r))*perRequest + perRequest/2
+	if !now.Add(wait + each).After(r.Aim) {
+		return wait, true
+	}
+	q.fade(now)
+	utilisation := q.demand / (float64(slots) * p.classWork(r.Class, 0) / (each - transit).Seconds())
+	if utilisation >= overload {
+		return wait, false
+	}
+	wait = time.Duration(float64(time.Duration(len(q.waiters)+1)*perRequest) / (1 - utilisation))
+	return wait, !now.Add(wait + each).After(r.Deadline)
+}
+
+// dispatch lets waiting requests run while there are free slots.
+func (p *pool) dispatch(q *queue, now time.Time) {
+	for len(q.waiters) > 0 {
+		r := p.nextFor(q, now)
+		if r == nil {
+			return
+		}
+		t := p.choose(r, now)
+		if t == nil {
+			return
+		}
+		q.remove(r)
+		delete(p.waiting, r.ID)
+		p.permit(r, t, now)
+	}
+}
+
+// nextFor returns the request of a queue to run next, or nil.
+func (p *pool) nextFor(q *queue, now time.Time) *Request {
+	chosen := map[ID]*target{}
+	return q.next(now,
+		func(r *Request) time.Duration { return p.takes(r, chosen[r.ID], now) },
+		func(r *Request) bool {
+			t := p.choose(r, now)
+			chosen[r.ID] = t
+			return t != nil
+		})
+}
+
+// ended takes a slot back and counts the result.
+func (p *pool) ended(running *permit, end End, now time.Time) {
+	t := running.target
+	t.running = max(t.running-1, 0)
+	if end.HasLoad && end.Load.Pace > 0 {
+		t.pace, t.paceAt = float64(end.Load.Pace)/100, now
+	}
+	p.count(running, end, now)
+	if p.service == nil {
+		return
+	}
+	if p.service.Keyed {
+		p.dispatch(p.queueOf(t.ID), now)
+		return
+	}
+	p.dispatch(p.shared, now)
+}
+
+// count learns from the result of a request.
+func (p *pool) count(running *permit, end End, now time.Time) {
+	t := running.target
+	class := running.request.Class
+	switch end.Result {
+	case Answered:
+		t.reachable()
+		t.count(false, now)
+		work := p.classWork(class, running.request.Aim.Sub(running.request.arrived))
+		if work > 0 && end.Took > 0 {
+			p.work[class] += classWeight * (end.Took.Seconds()/t.relativeTime(now) - work)
+			t.learn(end.Took, work, now)
+		}
+	case NotRun, Failed, Broken:
+		t.count(true, now)
+	case Timeout:
+		t.count(true, now)
+		if work := p.classWork(class, 0); work > 0 {
+			t.learn(now.Sub(running.at), work, now)
+		}
+	case Refused:
+		t.count(true, now)
+		t.refused = true
+		t.pause(now)
+	case Unreachable:
+		t.count(true, now)
+		t.pause(now)
+	}
+}
+
+// withdraw takes a waiting request out.
+func (p *pool) withdraw(id ID, now time.Time) {
+	q := p.waiting[id]
+	if q == nil {
+		return
+	}
+	delete(p.waiting, id)
+	for _, r := range q.waiters {
+		if r.ID == id {
+			q.remove(r)
+			return
+		}
+	}
+}
+
+func (p *pool) forget(vm string, now time.Time) {
+	for id := range p.waiting {
+		if id.VM == vm {
+			p.withdraw(id, now)
+		}
+	}
+}
+
+func (p *pool) refuseAll(reason Reason, now time.Time) {
+	for _, q := range p.queues() {
+		for _, r := range q.waiters {
+			p.refuse(r, reason, retrySoon, now)
+		}
+		q.waiters = nil
+	}
+	clear(p.waiting)
+}
+
+func (p *pool) queues() []*queue {
+	all := []*queue{p.shared}
+	for _, q := range p.owners {
+		all = append(all, q)
+	}
+	return all
+}
+
+// tick refuses what can no longer be answered and lets run what may.
+func (p *pool) tick(now time.Time) {
+	for _, q := range p.queues() {
+		if len(q.waiters) == 0 {
+			continue
+		}
+		p.dispatch(q, now)
+		p.prune(q, now)
+	}
+}
+
+// prune refuses the requests of a queue that would miss their deadline even if
+// they ran now.
+func (p *pool) prune(q *queue, now time.Time) {
+	var hopeless []*Request
+	for _, r := range q.waiters {
+		_, each := p.capacity(q, r, now)
+		if now.Add(max(each, transit)).After(r.Deadline) {
+			hopeless = append(hopeless, r)
+		}
+	}
+	for _, r := range hopeless {
+		q.remove(r)
+		delete(p.waiting, r.ID)
+		p.refuse(r, WouldBeLate, retrySoon, now)
+	}
+}
--- /dev/null
+++ b/internal/request/admission/repeats.go
@@ -0,0 +1,54 @@
+package admission
+
+import "time"
+
+// budgetShare is the share of the allowed repeats that is used; the rest covers
+// repeats that the broker does not see.
+const budgetShare = 0.7
+
+// repeats counts the requests of a service and their repeats over a sliding
+// window, in parts.
+type repeats struct {
+	budget Budget
+	parts  [windowParts]part
+	at     int64
+}
+
+// windowParts is the number of parts of the window.
+const windowParts = 10
+
+type part struct{ first, repeated int }
+
+func newRepeats(budget Budget) *repeats {
+	if budget.Window <= 0 {
+		budget.Window = 10 * time.Second
+	}
+	return &repeats{budget: budget}
+}
+
+// advance empties the parts that have left the window.
+func (c *repeats) advance(now time.Time) *part {
+	at := now.UnixNano() / int64(c.budget.Window/windowParts)
+	for steps := min(at-c.at, windowParts); steps > 0; steps-- {
+		c.at = at - steps + 1
+		c.parts[c.at%windowParts] = part{}
+	}
+	c.at = max(c.at, at)
+	return &c.parts[c.at%windowParts]
+}
+
+func (c *repeats) first(now time.Time) { c.advance(now).first++ }
+
+func (c *repeats) spend(now time.Time) { c.advance(now).repeated++ }
+
+// allow reports whether one more repeat is within the budget.
+func (c *repeats) allow(now time.Time) bool {
+	c.advance(now)
+	first, repeated := 0, 0
+	for _, p := range c.parts {
+		first += p.first
+		repeated += p.repeated
+	}
+	allowed := budgetShare * (c.budget.Ratio*float64(first) + float64(c.budget.Allowance))
+	return float64(repeated+1) <= allowed
+}
--- /dev/null
+++ b/internal/request/forward/deliver.go
@@ -0,0 +1,187 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/permits"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+// answer is a target's answer whose body is yet to be read.
+type answer struct {
+	*target.Answer
+	cancel  context.CancelFunc
+	took    time.Duration
+	load    fleet.Load
+	hasLoad bool
+}
+
+// singleHop are the headers that concern one connection only.
+var singleHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// copyHeaders copies the headers that pass on.
+func copyHeaders(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+	for _, listed := range from["Connection"] {
+		for _, name := range strings.Split(listed, ",") {
+			delete(to, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range singleHop {
+		delete(to, name)
+	}
+}
+
+// outgoing builds the request for a target.
+func (x *exchange) outgoing(ctx context.Context, t *fleet.Target) *http.Request {
+	header := make(http.Header, len(x.r.Header)+3)
+	copyHeaders(header, x.r.Header)
+	if _, ok := header["User-Agent"]; !ok {
+		// Keeps the library from adding its own.
+		header["User-Agent"] = []string{""}
+	}
+	x.handler.config.Dialect.Address(header, t.ID, time.Until(x.deadline)-transitAllowance)
+	request := &http.Request{
+		Method: x.r.Method, Host: x.r.Host, Header: header, ContentLength: x.r.ContentLength,
+		URL: &url.URL{Scheme: "http", Host: t.Address, Opaque: x.r.RequestURI}, Body: x.body.next(),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	return request.WithContext(ctx)
+}
+
+// deliver passes the answer on. A small answer is read to its end first, so
+// that one that breaks off can be replaced.
+func (x *exchange) deliver(permit permits.Permit, a *answer) {
+	defer a.cancel()
+	head, err := readUpTo(a.Body, keptBody)
+	complete := errors.Is(err, io.EOF)
+	if err != nil && !complete {
+		_ = a.Body.Close()
+		x.end(permit, a, admission.Broken)
+		x.log(events.AttemptFailed).Str("broker", permit.Broker).Uint8("result", uint8(admission.Broken)).Bool("may_have_run", true).Err(err).Send()
+		x.broken(outcome{result: admission.Broken})
+		return
+	}
+	if complete {
+		x.end(permit, a, x.result(a))
+	}
+	x.writeHead(a, head, complete)
+	if _, err := x.w.Write(head); err != nil {
+		x.callerLost(permit, a, complete)
+		return
+	}
+	if !complete {
+		x.stream(permit, a)
+	}
+	x.delivered(a)
+}
+
+// result is what an answer counts for.
+func (x *exchange) result(a *answer) admission.Result {
+	if a.Status >= http.StatusInternalServerError {
+		return admission.Failed
+	}
+	return admission.Answered
+}
+
+func (x *exchange) end(permit permits.Permit, a *answer, result admission.Result) {
+	x.handler.config.Permits.End(permit, result, a.took, a.load, a.hasLoad)
+}
+
+// writeHead writes status and headers as the target gave them.
+func (x *exchange) writeHead(a *answer, head []byte, complete bool) {
+	header := x.w.Header()
+	closing := header.Get("Connection")
+	copyHeaders(header, a.Header)
+	if closing != "" {
+		header.Set("Connection", closing)
+	}
+	switch {
+	case complete && x.r.Method != http.MethodHead && bodyAllowed(a.Status):
+		header.Set("Content-Length", strconv.Itoa(len(head)))
+	case a.ContentLength >= 0:
+		header.Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		// Keeps the library from guessing one.
+		header["Content-Type"] = nil
+	}
+	x.w.WriteHeader(a.Status)
+}
+
+func bodyAllowed(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// stream passes the rest of a large answer on as it comes.
+func (x *exchange) stream(permit permits.Permit, a *answer) {
+	controller := http.NewResponseController(x.w)
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := a.Body.Read(buffer)
+		if n > 0 {
+			if _, writeErr := x.w.Write(buffer[:n]); writeErr != nil {
+				x.callerLost(permit, a, false)
+				return
+			}
+			_ = controller.Flush()
+		}
+		if errors.Is(err, io.EOF) {
+			x.end(permit, a, x.result(a))
+			return
+		}
+		if err != nil {
+			x.end(permit, a, admission.Broken)
+			x.handler.metrics.failed("answer-cut")
+			x.log(events.ResponseCut).Err(err).Send()
+			// The caller sees a broken transfer, not a short answer.
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// callerLost ends an exchange whose caller does not take the answer.
+func (x *exchange) callerLost(permit permits.Permit, a *answer, ended bool) {
+	_ = a.Body.Close()
+	if !ended {
+		x.end(permit, a, admission.Canceled)
+	}
+	x.left()
+}
+
+func (x *exchange) delivered(a *answer) {
+	x.handler.metrics.answered(x.route, time.Since(x.began), a.Status)
+	x.log(events.RequestAnswered).Int("status", a.Status).Dur("service_time", a.took).Send()
+}
+
+// readUpTo reads at most limit bytes; the error is io.EOF if the body ended.
+func readUpTo(body io.Reader, limit int) ([]byte, error) {
+	content := make([]byte, 0, 2<<10)
+	for len(content) < limit {
+		if len(content) == cap(content) {
+			content = append(content, 0)[:len(content)]
+		}
+		n, err := body.Read(content[len(content):min(cap(content), limit)])
+		content = content[:len(content)+n]
+		if err != nil {
+			return content, err
+		}
+	}
+	return content, nil
+}
--- /dev/null
+++ b/internal/request/forward/pools.go
@@ -0,0 +1,59 @@
+package forward
+
+import (
+	"context"
+	"sync"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+// connectionsPerTarget bounds the connections of this VM to one target.
+const connectionsPerTarget = 16
+
+// Pools holds the connections to all targets. A pool belongs to one life of a
+// target.
+type Pools struct {
+	form target.Form
+
+	mu    sync.Mutex
+	pools map[fleet.Life]*target.Pool
+}
+
+// NewPools returns pools of connections of a form.
+func NewPools(form target.Form) *Pools {
+	return &Pools{form: form, pools: map[fleet.Life]*target.Pool{}}
+}
+
+// reserve returns a connection to a target.
+func (p *Pools) reserve(ctx context.Context, t *fleet.Target) (*target.Exchange, error) {
+	p.mu.Lock()
+	pool := p.pools[t.Life]
+	if pool == nil || pool.Address() != t.Address {
+		pool = target.NewPoolOf(t.Address, connectionsPerTarget, p.form)
+		p.pools[t.Life] = pool
+	}
+	p.mu.Unlock()
+	return pool.Reserve(ctx)
+}
+
+// Update closes the pools of targets that are gone.
+func (p *Pools) Update(view *fleet.View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for life, pool := range p.pools {
+		if t := view.Targets[life.ID]; t == nil || t.Life != life {
+			pool.Close()
+			delete(p.pools, life)
+		}
+	}
+}
+
+// Close closes all pools.
+func (p *Pools) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.pools {
+		pool.Close()
+	}
+}
