--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -76,7 +76,8 @@
 	observer *observer.Observer
 
 	// Following: what is known of the leader.
-	heardAt time.Time
+	startedAt time.Time
+	heardAt   time.Time
 	// heardNanos is heardAt for readers outside the loop.
 	heardNanos atomic.Int64
 	reportAt   time.Time
@@ -107,6 +108,7 @@
 	c.ctx = ctx
 	c.config.Loop.Post(func() {
 		now := time.Now()
+		c.startedAt = now
 		c.heardAt = now.Add(-silentAfter)
 		c.lookAt = now.Add(rankDelay(c.config.Self, c.config.Processor, 0))
 	})
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -42,7 +42,7 @@
 		c.lookAt = time.Time{}
 		return
 	}
-	if silent > watchAfter && !c.observer.Watching() {
+	if silent > watchAfter && now.Sub(c.startedAt) > watchAfter && !c.observer.Watching() {
 		c.observer.Seed(c.view)
 		c.observer.Start(c.ctx)
 	}
@@ -155,8 +155,10 @@
 				err = fault.Wrap(decodeErr, fault.Invalid, "delete the object", "the record in the store cannot be read")
 			}
 		}
-		e := evidence{known: len(others), silentFor: silent, yielding: yielding, ended: ended}
+		e := evidence{known: len(others), silentFor: silent}
 		if record != nil && record.Term == known.Term && record.Leader.Incarnation == leader.Incarnation {
+			// What this VM heard is of the leader that the record still names.
+			e.yielding, e.ended = yielding, ended
 			e.asked, e.deaf = c.ask(others, known.Term)
 		}
 		if record != nil && !e.ended {
--- a/internal/process/events/configuration.go
+++ b/internal/process/events/configuration.go
@@ -39,6 +39,11 @@
 	DomainRestored        = register(6306, "domain-restored", zerolog.InfoLevel, "A failure domain takes requests again; its targets count as cold for a while.")
 )
 
+// Events of the watches.
+var (
+	WatchInterrupted = register(6308, "watch-interrupted", zerolog.WarnLevel, "A list or watch of declarations failed or was cut; it is repeated, or the objects are listed again.")
+)
+
 // Events of a VM that follows the leader.
 var (
 	ConfigurationInForce = register(6307, "configuration-in-force", zerolog.InfoLevel, "This VM routes by a new version of the configuration.")
--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -133,13 +133,16 @@
 			post(func() { o.listed[prefix] = true; listed(objects); o.config.Changed() })
 		},
 		Changed: func(objects []store.Object) { post(func() { changed(objects); o.config.Changed() }) },
-		Contact: func(err error) { post(func() { o.contact(err) }) },
+		Contact: func(err error) { post(func() { o.contact(prefix, err) }) },
 	})
 }
 
 // contact notes the result of a call to the store. After an outage, entries
 // that are missing may still come back.
-func (o *Observer) contact(err error) {
+func (o *Observer) contact(prefix string, err error) {
+	if err != nil {
+		events.WatchInterrupted.Log(o.config.Logger).Str("prefix", prefix).Err(err).Send()
+	}
 	switch {
 	case err == nil && o.outage:
 		o.outage = false
--- a/internal/process/store/follow.go
+++ b/internal/process/store/follow.go
@@ -4,8 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"time"
-
-	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
 )
 
 const (
@@ -14,7 +12,7 @@
 	// together do not return together.
 	followRetryMin = 100 * time.Millisecond
 	followRetryMax = 1 * time.Second
-	// watchCutPause is the longest pause before a watch that was cut is resumed.
+	// watchCutPause is the longest pause before the list after a watch that failed.
 	watchCutPause = 30 * time.Millisecond
 )
 
@@ -29,8 +27,8 @@
 }
 
 // Follow lists the objects below a prefix and watches them until the context
-// ends. A watch that is cut resumes where it was; the objects are listed again
-// only if the store has dropped that part of its history.
+// ends. After a watch that failed the objects are listed again: a store that
+// drops its history leaves watches without a word of what changed.
 func Follow(ctx context.Context, s Store, prefix string, f Follower) {
 	pause := followRetryMin
 	for ctx.Err() == nil {
@@ -46,27 +44,21 @@
 		pause = followRetryMin
 		f.Listed(objects)
 		followChanges(ctx, s, prefix, at, f)
+		sleepUpTo(ctx, watchCutPause)
 	}
 }
 
-// followChanges watches until the history is gone or the context ends.
+// followChanges watches until a watch fails or the context ends.
 func followChanges(ctx context.Context, s Store, prefix string, at int64, f Follower) {
-	pause := watchCutPause
 	for {
 		changes, next, err := s.Watch(ctx, prefix, at)
 		if ctx.Err() != nil {
 			return
 		}
 		f.Contact(err)
-		if fault.Is(err, fault.Conflict) {
-			sleepUpTo(ctx, watchCutPause)
-			return
-		}
 		if err != nil {
-			pause = wait(ctx, pause)
-			continue
+			return
 		}
-		pause = watchCutPause
 		at = next
 		f.Changed(changes)
 	}
