Serve callers' connections with a server of our own that reads ahead

Ruled out: late cancellation at the target; the requests arrived 0.55 s after the caller's deadline because they were read that late.

Change: package caller reads on while requests run, runs those without a body side by side, answers in order, cancels all of them when the caller closes, and keeps the limits of the configuration.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/caller"
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/coordinator"
@@ -39,10 +40,11 @@
 	connectTimeout = 150 * time.Millisecond
 	// targetIdle closes connections before targets do, which is after 10 s.
 	targetIdle = 8 * time.Second
-	// headerTimeout and idleTimeout bound callers' connections; the
-	// configuration's own limits are below them.
+	// headerTimeout and idleTimeout bound the connections of probes and operators.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
+	// usualHeaderBytes bounds a head while no configuration is known.
+	usualHeaderBytes = 16 << 10
 	// balancerNotice is how long the balancer may send new connections after
 	// this VM has stopped to be ready: two misses, a second apart.
 	balancerNotice = 2500 * time.Millisecond
@@ -89,7 +91,7 @@
 	desk        *permits.Desk
 	pools       *forward.Pools
 	handler     *forward.Handler
-	callers     *http.Server
+	callers     *caller.Server
 	listeners   map[string]net.Listener
 
 	view    atomic.Pointer[fleet.View]
@@ -135,7 +137,7 @@
 		Domain: g.settings.FailureDomain, Dialect: platform.Dialect, Permits: g.desk, View: g.view.Load,
 		Pools: g.pools, Leaving: g.leaving.Load, NotOwner: g.notOwner, Logger: g.logger, Metrics: g.metrics.Scope,
 	})
-	g.callers = &http.Server{Handler: g.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	g.callers = &caller.Server{Handler: g.handler, Limits: g.callerLimits}
 }
 
 func (g *Gateway) listen() error {
@@ -202,7 +204,12 @@
 	group, parts := errgroup.WithContext(parts)
 	group.Go(func() error { g.loop.Run(parts); return nil })
 	group.Go(func() error { return g.transport.Run(parts) })
-	group.Go(func() error { return serve(g.callers, g.listeners["callers"]) })
+	group.Go(func() error {
+		if err := g.callers.Serve(g.listeners["callers"]); err != caller.ErrStopped {
+			return err
+		}
+		return nil
+	})
 	probes := &http.Server{Handler: g.readiness(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	group.Go(func() error { return serve(probes, g.listeners["ready"]) })
 	metrics := &http.Server{Handler: g.metrics.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -226,6 +233,18 @@
 	return err
 }
 
+// callerLimits returns the limits of the configuration, or the usual ones while
+// none is known.
+func (g *Gateway) callerLimits() caller.Limits {
+	config := g.view.Load().Config
+	if config == nil {
+		return caller.Limits{HeaderBytes: usualHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	}
+	return caller.Limits{
+		HeaderBytes: config.Limits.HeaderBytes, HeaderTimeout: config.Limits.HeaderTimeout, IdleTimeout: config.Limits.IdleTimeout,
+	}
+}
+
 // serve serves a listener until its server is closed.
 func serve(server *http.Server, listener net.Listener) error {
 	if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
@@ -259,5 +278,5 @@
 	for g.handler.InFlight() > 0 && ctx.Err() == nil {
 		time.Sleep(stopPoll)
 	}
-	_ = g.callers.Close()
+	g.callers.Close()
 }
