--- /dev/null
+++ b/internal/testutil/platformstub/platformstub.go
@@ -0,0 +1,347 @@
+// Package platformstub is a stand-in of the users' object store for tests:
+// objects by kind and name with revisions, conditional writes, pages, watches,
+// and the ways in which the store fails.
+package platformstub
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// PathFaults takes the Faults in force, for tests in other processes.
+const PathFaults = "/stub/faults"
+
+// Faults says how the store misbehaves; the zero value is a healthy store.
+type Faults struct {
+	// Status refuses every call with it: 503 or 429.
+	Status int `json:"status,omitempty"`
+	// Refuse refuses the callers whose remote address begins with one of these.
+	Refuse []string `json:"refuse,omitempty"`
+	// Silent answers nothing.
+	Silent bool `json:"silent,omitempty"`
+	// DelayMillis delays every call before it takes effect.
+	DelayMillis int64 `json:"delayMillis,omitempty"`
+	// LoseAnswers is the number of coming writes whose answers are lost.
+	LoseAnswers int `json:"loseAnswers,omitempty"`
+	// LateMillis is by how much a write with a lost answer takes effect late.
+	LateMillis int64 `json:"lateMillis,omitempty"`
+	// MuteWatches leaves watches without events.
+	MuteWatches bool `json:"muteWatches,omitempty"`
+}
+
+// Metadata is what the store keeps about an object.
+type Metadata struct {
+	Name       string `json:"name"`
+	Rev        int64  `json:"rev"`
+	CreatedRev int64  `json:"createdRev"`
+}
+
+// Object is one object.
+type Object struct {
+	Metadata Metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
+}
+
+type event struct {
+	kind    string
+	rev     int64
+	Object  Object `json:"object"`
+	Deleted bool   `json:"deleted"`
+}
+
+// Stub is the stand-in; it is an http.Handler.
+type Stub struct {
+	// PageSize is the number of objects in a page of a list.
+	PageSize int
+
+	mu       sync.Mutex
+	revision int64
+	objects  map[string]map[string]Object
+	events   []event
+	// dropped is the revision up to which the history is gone.
+	dropped int64
+	changed chan struct{}
+	faults  Faults
+	calls   map[string]int
+}
+
+// New returns an empty store.
+func New() *Stub {
+	return &Stub{
+		PageSize: 500, revision: 1, objects: map[string]map[string]Object{}, changed: make(chan struct{}), calls: map[string]int{},
+	}
+}
+
+// SetFaults replaces the faults in force.
+func (s *Stub) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// DropHistory forgets all events; waiting watches are left without a word.
+func (s *Stub) DropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events, s.dropped = nil, s.revision
+}
+
+// Calls returns the number of calls by method.
+func (s *Stub) Calls(method string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[method]
+}
+
+// Set writes an object as the platform does, without condition.
+func (s *Stub) Set(kind, name string, spec, status any) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.write(kind, name, encode(spec), encode(status)).Metadata.Rev
+}
+
+// Remove deletes an object as the platform does.
+func (s *Stub) Remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(kind, name)
+}
+
+// Get returns an object.
+func (s *Stub) Get(kind, name string) (Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind][name]
+	return o, ok
+}
+
+func encode(value any) json.RawMessage {
+	if raw, ok := value.(json.RawMessage); ok {
+		return raw
+	}
+	content, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return content
+}
+
+// write stores an object; the lock is held.
+func (s *Stub) write(kind, name string, spec, status json.RawMessage) Object {
+	s.revision++
+	before, existed := s.objects[kind][name]
+	o := Object{Metadata: Metadata{Name: name, Rev: s.revision, CreatedRev: s.revision}, Spec: spec, Status: status}
+	if existed {
+		o.Metadata.CreatedRev = before.Metadata.CreatedRev
+	}
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]Object{}
+	}
+	s.objects[kind][name] = o
+	s.record(event{kind: kind, rev: s.revision, Object: o})
+	return o
+}
+
+func (s *Stub) remove(kind, name string) {
+	o, ok := s.objects[kind][name]
+	if !ok {
+		return
+	}
+	s.revision++
+	o.Metadata.Rev = s.revision
+	delete(s.objects[kind], name)
+	s.record(event{kind: kind, rev: s.revision, Object: o, Deleted: true})
+}
+
+func (s *Stub) record(e event) {
+	s.events = append(s.events, e)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Stub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == PathFaults {
+		var f Faults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.SetFaults(f)
+		return
+	}
+	s.mu.Lock()
+	s.calls[r.Method]++
+	f := s.faults
+	s.mu.Unlock()
+	if !s.misbehave(w, r, f) {
+		return
+	}
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	if r.Method == http.MethodGet {
+		s.read(w, r, kind, name)
+		return
+	}
+	s.change(w, r, kind, name, f)
+}
+
+// misbehave applies faults and reports whether the call goes on.
+func (s *Stub) misbehave(w http.ResponseWriter, r *http.Request, f Faults) bool {
+	for _, prefix := range f.Refuse {
+		if strings.HasPrefix(r.RemoteAddr, prefix) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return false
+		}
+	}
+	if f.Silent {
+		<-r.Context().Done()
+		return false
+	}
+	if f.Status != 0 {
+		w.WriteHeader(f.Status)
+		return false
+	}
+	time.Sleep(time.Duration(f.DelayMillis) * time.Millisecond)
+	return true
+}
+
+func (s *Stub) read(w http.ResponseWriter, r *http.Request, kind, name string) {
+	query := r.URL.Query()
+	switch {
+	case query.Has("watch"):
+		s.watch(w, r, kind)
+	case name != "":
+		if o, ok := s.Get(kind, name); ok {
+			answer(w, http.StatusOK, o)
+			return
+		}
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		s.list(w, kind, query.Get("after"))
+	}
+}
+
+func (s *Stub) list(w http.ResponseWriter, kind, after string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := []string{}
+	for name := range s.objects[kind] {
+		if name > after {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	more := len(names) > s.PageSize
+	if more {
+		names = names[:s.PageSize]
+	}
+	items := []Object{}
+	for _, name := range names {
+		items = append(items, s.objects[kind][name])
+	}
+	answer(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "at": s.revision})
+}
+
+// watch answers as soon as there is an event, or once the time is over.
+func (s *Stub) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
+	millis, waitErr := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	if err != nil || waitErr != nil || millis > 30000 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
+	defer timer.Stop()
+	for over := false; ; {
+		found, at, gone, changed := s.eventsAfter(kind, from)
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(found) > 0 || over {
+			answer(w, http.StatusOK, map[string]any{"events": found, "at": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Stub) eventsAfter(kind string, from int64) (found []event, at int64, gone bool, changed chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found = []event{}
+	if s.faults.MuteWatches {
+		return found, from, false, s.changed
+	}
+	if from < s.dropped {
+		return nil, 0, true, nil
+	}
+	for _, e := range s.events {
+		if e.kind == kind && e.rev > from {
+			found = append(found, e)
+		}
+	}
+	return found, s.revision, false, s.changed
+}
+
+func (s *Stub) change(w http.ResponseWriter, r *http.Request, kind, name string, f Faults) {
+	var o Object
+	if r.Method != http.MethodDelete {
+		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	} else if rev, err := strconv.ParseInt(r.URL.Query().Get("rev"), 10, 64); err == nil {
+		o.Metadata.Rev = rev
+	}
+	if f.LoseAnswers > 0 {
+		s.mu.Lock()
+		s.faults.LoseAnswers--
+		s.mu.Unlock()
+		time.AfterFunc(time.Duration(f.LateMillis)*time.Millisecond, func() { s.apply(r.Method, kind, name, o) })
+		panic(http.ErrAbortHandler)
+	}
+	status, written := s.apply(r.Method, kind, name, o)
+	answer(w, status, written)
+}
+
+// apply carries a write out if its condition holds.
+func (s *Stub) apply(method, kind, name string, o Object) (int, Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if method == http.MethodPost {
+		name = o.Metadata.Name
+	}
+	found, exists := s.objects[kind][name]
+	switch {
+	case method == http.MethodPost && exists:
+		return http.StatusConflict, found
+	case method != http.MethodPost && !exists:
+		return http.StatusNotFound, Object{}
+	case method != http.MethodPost && o.Metadata.Rev != 0 && o.Metadata.Rev != found.Metadata.Rev:
+		return http.StatusConflict, found
+	case method == http.MethodDelete:
+		s.remove(kind, name)
+		return http.StatusOK, found
+	}
+	return http.StatusOK, s.write(kind, name, o.Spec, found.Status)
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that has left needs no answer.
+	_ = json.NewEncoder(w).Encode(body)
+}
