Test admission and the placement of keys under loads, and give empty targets keys

The planner moved no part with less than 0.05 s of work a second, also to a target without any keys (TestEmptyOwnerGetsKeys failed).

Change: a target without keys gets some whatever the load. Tests play loads to the broker (overload, hot owner, cold, slow and failing targets, budget) and to the planner.

--- /dev/null
+++ b/internal/request/admission/load_test.go
@@ -0,0 +1,244 @@
+package admission_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+var browse = load{service: "s", class: "browse", work: 60 * time.Millisecond, aim: 200 * time.Millisecond, deadline: 500 * time.Millisecond, domain: "a"}
+
+func with(l load, perS float64) load {
+	l.perS = perS
+	return l
+}
+
+// TestCalmLoadMeetsItsAim: at half of the capacity nearly everything is in aim.
+func TestCalmLoadMeetsItsAim(t *testing.T) {
+	p := newPlay(usual(), fleetOf(fleet.Service{Name: "s"}, 8))
+	p.arrive(with(browse, 130), 0, 20*time.Second)
+	p.until(21 * time.Second)
+	assert.Assert(t, p.share(every, (*played).inAim) > 0.99, "%f", p.share(every, (*played).inAim))
+}
+
+// TestOverloadKeepsCapacityForAims: at one and a half times the capacity, what
+// can be served is served in aim, not late.
+func TestOverloadKeepsCapacityForAims(t *testing.T) {
+	for _, keyed := range []bool{false, true} {
+		p := newPlay(usual(), fleetOf(fleet.Service{Name: "s", Keyed: keyed}, 8))
+		capacity := 16 / 0.060
+		l := with(browse, 1.5*capacity)
+		l.key = func(r *rand.Rand) uint16 { return uint16(r.IntN(fleet.Keys)) }
+		p.arrive(l, 0, 20*time.Second)
+		p.until(21 * time.Second)
+		inAim := p.share(every, (*played).inAim)
+		assert.Assert(t, inAim > 0.85/1.5, "keyed %v: %f of the requests were answered in aim", keyed, inAim)
+	}
+}
+
+// TestRefusalsComeAtOnce: a request that is refused for its deadline is told so
+// within an eighth of its aim, in nearly all cases.
+func TestRefusalsComeAtOnce(t *testing.T) {
+	for _, keyed := range []bool{false, true} {
+		p := newPlay(usual(), fleetOf(fleet.Service{Name: "s", Keyed: keyed}, 8))
+		l := with(browse, 1.5*16/0.060)
+		l.key = func(r *rand.Rand) uint16 { return uint16(r.IntN(fleet.Keys)) }
+		p.arrive(l, 0, 20*time.Second)
+		p.until(21 * time.Second)
+		refused := func(r *played) bool { return r.refused != "" }
+		atOnce := p.share(refused, func(r *played) bool { return r.endedAt.Sub(r.arrivedAt) <= l.aim/8 })
+		assert.Assert(t, atOnce > 0.9, "keyed %v: %f of the refusals came at once", keyed, atOnce)
+	}
+}
+
+// TestHotOwnerDoesNotDelayOthers: keys of one owner get five times its capacity;
+// requests for other keys meet their aims.
+func TestHotOwnerDoesNotDelayOthers(t *testing.T) {
+	p := newPlay(usual(), fleetOf(fleet.Service{Name: "s", Keyed: true}, 8))
+	hot, cool := with(browse, 160), with(browse, 100)
+	hot.key = func(r *rand.Rand) uint16 { return uint16(r.IntN(200)) }
+	cool.key = func(r *rand.Rand) uint16 { return uint16(fleet.Keys/8 + r.IntN(fleet.Keys*7/8)) }
+	p.arrive(hot, 0, 10*time.Second)
+	p.arrive(cool, 0, 10*time.Second)
+	p.until(11 * time.Second)
+	others := p.share(func(r *played) bool { return r.Key >= fleet.Keys/8 }, (*played).inAim)
+	assert.Assert(t, others > 0.97, "%f", others)
+}
+
+// TestUrgentRequestsRunFirst: under overload the class of the higher rank is
+// served before the other.
+func TestUrgentRequestsRunFirst(t *testing.T) {
+	p := newPlay(usual(), fleetOf(fleet.Service{Name: "s"}, 4))
+	urgent, other := with(browse, 60), with(browse, 200)
+	urgent.priority, urgent.class, other.priority = 1, "urgent", 2
+	p.arrive(urgent, 0, 10*time.Second)
+	p.arrive(other, 0, 10*time.Second)
+	p.until(11 * time.Second)
+	served := p.share(func(r *played) bool { return r.Class == "urgent" }, (*played).inAim)
+	assert.Assert(t, served > 0.95, "%f", served)
+}
+
+// TestColdTargetIsPaced: a cold target never gets more requests in a second
+// than it bears, whatever the load.
+func TestColdTargetIsPaced(t *testing.T) {
+	for _, keyed := range []bool{false, true} {
+		view := fleetOf(fleet.Service{Name: "s", Keyed: keyed, Cold: 3 * time.Second, ColdRate: 11}, 4)
+		p := newPlay(usual(), view)
+		view.Targets["t0"].ColdUntil = p.start.Add(5 * time.Second)
+		p.broker.Update(view, p.start)
+		l := with(browse, 200)
+		l.work = 10 * time.Millisecond
+		l.key = func(r *rand.Rand) uint16 { return uint16(r.IntN(fleet.Keys)) }
+		p.arrive(l, 0, 5*time.Second)
+		p.until(5 * time.Second)
+		most := p.mostWithin("t0", time.Second, view.Targets["t0"].ColdUntil)
+		assert.Assert(t, most <= 21, "keyed %v: %d requests within a second", keyed, most)
+		assert.Assert(t, most > 5, "keyed %v: the cold target got nearly nothing: %d", keyed, most)
+	}
+}
+
+// TestCautiousBrokerSparesColdTargets: without knowledge of the other VMs'
+// requests nothing is sent to a cold target and nothing repeated.
+func TestCautiousBrokerSparesColdTargets(t *testing.T) {
+	view := fleetOf(fleet.Service{Name: "s", ColdRate: 11}, 2)
+	config := usual()
+	config.Cautious = true
+	p := newPlay(config, view)
+	for _, target := range view.Targets {
+		target.ColdUntil = p.start.Add(time.Hour)
+	}
+	p.broker.Update(view, p.start)
+	r := p.ask(browse)
+	p.until(time.Second)
+	assert.Equal(t, r.target, "")
+}
+
+// TestSlowTargetGetsLess: one of eight targets takes eight times as long; the
+// load of the others allows to spare it.
+func TestSlowTargetGetsLess(t *testing.T) {
+	p := newPlay(usual(), fleetOf(fleet.Service{Name: "s"}, 8))
+	p.slowness = func(target string, _ time.Time) float64 {
+		if target == "t3" {
+			return 8
+		}
+		return 1
+	}
+	p.arrive(with(browse, 130), 0, 20*time.Second)
+	p.until(22 * time.Second)
+	assert.Assert(t, p.share(every, (*played).inAim) > 0.97, "%f", p.share(every, (*played).inAim))
+}
+
+// TestFailingTargetGetsLess: a target that refuses nearly half of its requests
+// while it answers health checks.
+func TestFailingTargetGetsLess(t *testing.T) {
+	p := newPlay(usual(), fleetOf(fleet.Service{Name: "s"}, 8))
+	p.fails = func(target string) bool { return target == "t3" && p.random.Float64() < 0.45 }
+	p.arrive(with(browse, 130), 0, 20*time.Second)
+	p.until(22 * time.Second)
+	toGrey := p.share(every, func(r *played) bool { return r.target == "t3" })
+	assert.Assert(t, toGrey < 0.5/8, "%f of the requests went to the failing target", toGrey)
+	assert.Assert(t, toGrey > 0, "it was not tried again")
+}
+
+// TestRepeatsStayWithinTheBudget: half of the requests ask for repeats.
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	p := newPlay(usual(), fleetOf(fleet.Service{Name: "s"}, 8))
+	for i := range 3000 {
+		at := time.Duration(i) * 10 * time.Millisecond
+		p.at(p.start.Add(at), func() {
+			p.ask(browse)
+		})
+	}
+	for i := range 3000 {
+		at := time.Duration(i)*10*time.Millisecond + time.Millisecond
+		p.at(p.start.Add(at), func() { p.askRepeat(browse) })
+	}
+	p.until(31 * time.Second)
+	window := 10 * time.Second
+	for from := time.Duration(0); from <= 20*time.Second; from += 500 * time.Millisecond {
+		inside := func(r *played) bool {
+			at := r.arrivedAt.Sub(p.start)
+			return at >= from && at < from+window
+		}
+		first, repeats := 0, 0
+		for _, r := range p.done {
+			switch {
+			case !inside(r):
+			case !r.Repeat:
+				first++
+			case r.refused == "":
+				repeats++
+			}
+		}
+		allowed := budget.Ratio*float64(first) + float64(budget.Allowance)
+		assert.Assert(t, float64(repeats) <= allowed, "%d repeats of %d requests", repeats, first)
+		assert.Assert(t, repeats > 0)
+	}
+}
+
+// TestLargeRequestsStayInTheirDomain while a target there will be free in time.
+func TestLargeRequestsStayInTheirDomain(t *testing.T) {
+	p := newPlay(usual(), fleetOf(fleet.Service{Name: "s"}, 8))
+	l := with(browse, 60)
+	l.large = true
+	p.arrive(l, 0, 10*time.Second)
+	p.until(11 * time.Second)
+	local := p.share(every, func(r *played) bool { return p.view.Targets[r.target].FailureDomain == "a" })
+	assert.Assert(t, local > 0.95, "%f", local)
+	assert.Assert(t, p.share(every, (*played).inAim) > 0.97)
+}
+
+// TestNothingIsSentToTargetsThatLeave: not from the moment the view says so.
+func TestNothingIsSentToTargetsThatLeave(t *testing.T) {
+	view := fleetOf(fleet.Service{Name: "s"}, 4)
+	p := newPlay(usual(), view)
+	p.arrive(with(browse, 100), 0, 4*time.Second)
+	p.at(p.start.Add(time.Second), func() {
+		next := *view
+		next.Targets = map[string]*fleet.Target{}
+		for id, target := range view.Targets {
+			copied := *target
+			copied.Leaving = id == "t0"
+			next.Targets[id] = &copied
+		}
+		next.Evacuated = map[string]bool{"b": true}
+		p.broker.Update(&next, p.now)
+	})
+	p.until(5 * time.Second)
+	for _, r := range p.done {
+		if r.startedAt.After(p.start.Add(time.Second)) {
+			assert.Equal(t, r.target, "t2")
+		}
+	}
+}
+
+// TestPermitWithoutEndIsGivenUp: the slot of an entry that is gone is free again
+// after the request's deadline.
+func TestPermitWithoutEndIsGivenUp(t *testing.T) {
+	var decisions []admission.Decision
+	config := usual()
+	config.Decide = func(d admission.Decision) { decisions = append(decisions, d) }
+	broker := admission.New(config)
+	view := fleetOf(fleet.Service{Name: "s"}, 1)
+	now := time.Unix(1700000000, 0)
+	broker.Update(view, now)
+	for i := range uint64(3) {
+		broker.Ask(admission.Request{
+			ID: admission.ID{VM: "gone", Number: i}, Service: "s", Class: "c", Aim: now.Add(200 * time.Millisecond), Deadline: now.Add(time.Second),
+		}, now)
+	}
+	assert.Equal(t, len(decisions), 2, "two slots, one request waits")
+	broker.Forget("gone", now)
+	broker.Tick(now.Add(1600 * time.Millisecond))
+	now = now.Add(1700 * time.Millisecond)
+	broker.Ask(admission.Request{
+		ID: admission.ID{VM: "vm", Number: 1}, Service: "s", Class: "c", Aim: now.Add(200 * time.Millisecond), Deadline: now.Add(time.Second),
+	}, now)
+	assert.Equal(t, len(decisions), 3)
+	assert.Equal(t, decisions[2].Refused, admission.Reason(""))
+}
--- /dev/null
+++ b/internal/request/admission/play_test.go
@@ -0,0 +1,241 @@
+package admission_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/seed"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+// play is a load played to a broker on a clock of its own. Targets run what
+// they are given: each request takes its work times the target's slowness.
+type play struct {
+	broker *admission.Broker
+	view   *fleet.View
+	now    time.Time
+	start  time.Time
+	random *rand.Rand
+	events agenda
+	number uint64
+	// slowness of a target at a moment; nil means 1.
+	slowness func(target string, now time.Time) float64
+	// fails reports whether a target refuses a request.
+	fails func(target string) bool
+	open  map[uint64]*played
+	done  []*played
+}
+
+// played is one request and what became of it.
+type played struct {
+	admission.Request
+	work      time.Duration
+	arrivedAt time.Time
+	startedAt time.Time
+	endedAt   time.Time
+	target    string
+	refused   admission.Reason
+	retry     time.Duration
+}
+
+func (p *played) inAim() bool { return p.refused == "" && !p.endedAt.After(p.Aim) }
+
+type happening struct {
+	at time.Time
+	do func()
+}
+
+type agenda []happening
+
+func (a agenda) Len() int           { return len(a) }
+func (a agenda) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
+func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)        { *a = append(*a, x.(happening)) }
+func (a *agenda) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return last
+}
+
+// tickEvery is the interval at which the broker's owner calls Tick.
+const tickEvery = 10 * time.Millisecond
+
+func newPlay(config admission.Config, view *fleet.View) *play {
+	p := &play{
+		view: view, now: time.Unix(1700000000, 0), random: rand.New(rand.NewPCG(seed.Value, 1)), open: map[uint64]*played{},
+	}
+	p.start = p.now
+	config.Decide = p.decided
+	p.broker = admission.New(config)
+	p.broker.Update(view, p.now)
+	return p
+}
+
+func (p *play) at(t time.Time, do func()) { heap.Push(&p.events, happening{t, do}) }
+
+// until plays everything up to a time after the start.
+func (p *play) until(after time.Duration) {
+	end := p.start.Add(after)
+	var tick func()
+	tick = func() {
+		p.broker.Tick(p.now)
+		if p.now.Before(end) {
+			p.at(p.now.Add(tickEvery), tick)
+		}
+	}
+	p.at(p.now, tick)
+	for len(p.events) > 0 {
+		next := heap.Pop(&p.events).(happening)
+		p.now = next.at
+		next.do()
+	}
+}
+
+// load describes requests that arrive at random.
+type load struct {
+	service  string
+	class    string
+	perS     float64
+	work     time.Duration
+	aim      time.Duration
+	deadline time.Duration
+	priority int
+	domain   string
+	large    bool
+	key      func(*rand.Rand) uint16
+}
+
+// arrive plays a load from one time after the start to another.
+func (p *play) arrive(l load, from, to time.Duration) {
+	for at := from; ; {
+		at += time.Duration(p.random.ExpFloat64() / l.perS * float64(time.Second))
+		if at > to {
+			return
+		}
+		p.at(p.start.Add(at), func() { p.ask(l) })
+	}
+}
+
+func (p *play) ask(l load) *played { return p.askFor(l, false) }
+
+// askRepeat asks for a request that was sent before.
+func (p *play) askRepeat(l load) *played { return p.askFor(l, true) }
+
+func (p *play) askFor(l load, repeat bool) *played {
+	p.number++
+	r := &played{
+		arrivedAt: p.now, work: time.Duration((0.5 + p.random.Float64()) * float64(l.work)),
+		Request: admission.Request{
+			ID: admission.ID{VM: "vm", Number: p.number}, Service: l.service, Class: l.class, Domain: l.domain,
+			Priority: l.priority, Aim: p.now.Add(l.aim), Deadline: p.now.Add(l.deadline), Large: l.large, Repeat: repeat,
+		},
+	}
+	if l.key != nil {
+		r.Key = l.key(p.random)
+	}
+	p.open[p.number] = r
+	p.broker.Ask(r.Request, p.now)
+	return r
+}
+
+// decided runs a permitted request at its target.
+func (p *play) decided(d admission.Decision) {
+	r := p.open[d.ID.Number]
+	if d.Refused != "" {
+		r.refused, r.retry, r.endedAt = d.Refused, d.RetryAfter, p.now
+		p.finish(r)
+		return
+	}
+	r.target, r.startedAt = d.Target.ID, p.now
+	took := r.work
+	if p.slowness != nil {
+		took = time.Duration(float64(took) * p.slowness(r.target, p.now))
+	}
+	result := admission.Answered
+	if p.fails != nil && p.fails(r.target) {
+		result, took = admission.NotRun, time.Millisecond
+	}
+	p.at(p.now.Add(took), func() {
+		r.endedAt = p.now
+		p.broker.End(admission.End{ID: d.ID, Result: result, Took: took}, p.now)
+		p.finish(r)
+	})
+}
+
+func (p *play) finish(r *played) {
+	delete(p.open, r.ID.Number)
+	p.done = append(p.done, r)
+}
+
+// share returns the share of the finished requests for which a condition holds.
+func (p *play) share(of func(*played) bool, holds func(*played) bool) float64 {
+	all, found := 0, 0
+	for _, r := range p.done {
+		if !of(r) {
+			continue
+		}
+		all++
+		if holds(r) {
+			found++
+		}
+	}
+	if all == 0 {
+		return math.NaN()
+	}
+	return float64(found) / float64(all)
+}
+
+func every(*played) bool { return true }
+
+// mostWithin returns the largest number of starts at a target in any window
+// before the given time.
+func (p *play) mostWithin(target string, window time.Duration, until time.Time) int {
+	var starts []time.Time
+	for _, r := range p.done {
+		if r.target == target && r.startedAt.Before(until) {
+			starts = append(starts, r.startedAt)
+		}
+	}
+	sort.Slice(starts, func(i, j int) bool { return starts[i].Before(starts[j]) })
+	most, first := 0, 0
+	for i := range starts {
+		for starts[i].Sub(starts[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// fleetOf returns a view with targets of two slots for one service, spread over
+// two failure domains.
+func fleetOf(service fleet.Service, count int) *fleet.View {
+	config := &fleet.Config{Version: 1, Services: []fleet.Service{service}}
+	config.Index()
+	view := &fleet.View{Config: config, Targets: map[string]*fleet.Target{}, Slices: map[string][]fleet.Slice{}}
+	for i := range count {
+		id := fmt.Sprintf("t%d", i)
+		view.Targets[id] = &fleet.Target{
+			Life: fleet.Life{ID: id, Born: 1}, Service: service.Name, FailureDomain: []string{"a", "b"}[i%2], Slots: 2,
+		}
+		if service.Keyed {
+			width := fleet.Keys / count
+			view.Slices[service.Name] = append(view.Slices[service.Name], fleet.Slice{
+				First: uint16(i * width), Last: uint16((i+1)*width - 1), Owner: view.Targets[id].Life, Fence: 1, Ready: true,
+			})
+		}
+	}
+	return view
+}
+
+var budget = admission.Budget{Ratio: 0.2, Allowance: 100, Window: 10 * time.Second}
+
+func usual() admission.Config {
+	return admission.Config{Budget: budget, ColdFactor: 1.5, ColdAllowance: 5}
+}
--- a/internal/version/keyspace/plan.go
+++ b/internal/version/keyspace/plan.go
@@ -145,7 +145,7 @@
 	for {
 		to := p.coldest(fleet.Life{})
 		room := aimAt*p.mean*to.Capacity - to.demand
-		cut, ok := p.prefix(rest, max(room, minPart))
+		cut, ok := p.prefix(rest, max(room, minPart), minPart)
 		if !ok || rest.demand <= max(room, minPart)*1.3 {
 			p.move(rest.first, rest.last, rest.demand, nil, to)
 			return
@@ -177,7 +177,10 @@
 			found = o
 		}
 	}
-	if found == nil || found.utilisation() < imbalance*p.mean || found.utilisation() < idleUtilisation && !p.anyEmpty() {
+	if found == nil || p.anyEmpty() {
+		return found
+	}
+	if found.utilisation() < imbalance*p.mean || found.utilisation() < idleUtilisation {
 		return nil
 	}
 	return found
@@ -214,7 +217,12 @@
 	even := (from.demand*to.Capacity - to.demand*from.Capacity) / (from.Capacity + to.Capacity)
 	excess := min(from.demand-p.mean*from.Capacity, max(aimAt*p.mean*to.Capacity-to.demand, 0))
 	excess = min(max(excess, 0), even)
-	if excess < minPart && to.pieces > 0 {
+	least := minPart
+	if to.pieces == 0 {
+		// A target without keys serves nobody, however little there is to do.
+		excess, least = max(excess, even/2), 0
+	}
+	if excess < least {
 		return false
 	}
 	best := -1
@@ -229,11 +237,11 @@
 	if best < 0 {
 		return false
 	}
-	return p.cutFrom(best, excess, from, to)
+	return p.cutFrom(best, excess, least, from, to)
 }
 
 // cutFrom moves the end of a piece that comes closest to the excess.
-func (p *plan) cutFrom(i int, excess float64, from, to *share) bool {
+func (p *plan) cutFrom(i int, excess, least float64, from, to *share) bool {
 	source := &p.pieces[i]
 	if source.demand <= excess*1.1 && from.pieces > 1 {
 		source.fixed = true
@@ -241,8 +249,8 @@
 		source.owner = to.Life
 		return true
 	}
-	head, headOK := p.prefix(*source, excess)
-	tail, tailOK := p.suffix(*source, excess)
+	head, headOK := p.prefix(*source, excess, least)
+	tail, tailOK := p.suffix(*source, excess, least)
 	cut, ok := head, headOK
 	if tailOK && (!headOK || tail.demand > head.demand) {
 		cut, ok = tail, true
@@ -272,9 +280,9 @@
 }
 
 // prefix returns the longest proper beginning of a piece with at most the
-// demand; false if its first key alone has more.
-func (p *plan) prefix(source piece, demand float64) (piece, bool) {
-	cut := piece{first: source.first}
+// demand; false if that has less than the least demand worth a move.
+func (p *plan) prefix(source piece, demand, least float64) (piece, bool) {
+	cut, keys := piece{first: source.first}, 0
 	for key := int(source.first); key < int(source.last); key++ {
 		d := float64(p.load.keys[key])
 		if cut.demand+d > demand {
@@ -282,16 +290,14 @@
 		}
 		cut.demand += d
 		cut.last = uint16(key)
-		if key == int(source.first) || cut.last > cut.first {
-			cut.fixed = true
-		}
+		keys++
 	}
-	return cut, cut.fixed && cut.demand >= minPart
+	return cut, keys > 0 && cut.demand >= least
 }
 
 // suffix is prefix from the other end.
-func (p *plan) suffix(source piece, demand float64) (piece, bool) {
-	cut := piece{last: source.last}
+func (p *plan) suffix(source piece, demand, least float64) (piece, bool) {
+	cut, keys := piece{last: source.last}, 0
 	for key := int(source.last); key > int(source.first); key-- {
 		d := float64(p.load.keys[key])
 		if cut.demand+d > demand {
@@ -299,9 +305,9 @@
 		}
 		cut.demand += d
 		cut.first = uint16(key)
-		cut.fixed = true
+		keys++
 	}
-	return cut, cut.fixed && cut.demand >= minPart
+	return cut, keys > 0 && cut.demand >= least
 }
 
 // Apply returns the slices after moves, each moved part at a fence of its own.
--- /dev/null
+++ b/internal/version/keyspace/plan_test.go
@@ -0,0 +1,221 @@
+package keyspace_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/keyspace"
+)
+
+func owners(count int) []keyspace.Owner {
+	var list []keyspace.Owner
+	for i := range count {
+		list = append(list, keyspace.Owner{Life: fleet.Life{ID: fmt.Sprintf("t%02d", i), Born: 1}, Capacity: 2})
+	}
+	return list
+}
+
+// world applies plans and lets every move succeed at once.
+type world struct {
+	slices []fleet.Slice
+	fence  uint64
+}
+
+func (w *world) apply(moves []keyspace.Move) {
+	w.slices = keyspace.Apply(w.slices, moves, func() uint64 { w.fence++; return w.fence })
+}
+
+func (w *world) settle() {
+	for i := range w.slices {
+		w.slices[i].From, w.slices[i].Ready = nil, true
+	}
+}
+
+// check verifies that every key has exactly one owner.
+func (w *world) check(t interface{ Fatalf(string, ...any) }) {
+	next := 0
+	for _, s := range w.slices {
+		if int(s.First) != next || s.Last < s.First {
+			t.Fatalf("slice %d..%d where %d was to begin", s.First, s.Last, next)
+		}
+		next = int(s.Last) + 1
+	}
+	if next != fleet.Keys {
+		t.Fatalf("keys from %d on have no owner", next)
+	}
+}
+
+// utilisation returns the highest utilisation of an owner relative to the mean.
+func (w *world) utilisation(list []keyspace.Owner, demand func(key int) float64) float64 {
+	total, highest := 0.0, 0.0
+	by := map[fleet.Life]float64{}
+	for _, s := range w.slices {
+		for key := int(s.First); key <= int(s.Last); key++ {
+			by[s.Owner] += demand(key)
+			total += demand(key)
+		}
+	}
+	capacity := 0.0
+	for _, o := range list {
+		capacity += o.Capacity
+	}
+	for _, o := range list {
+		if o.Capacity > 0 {
+			highest = max(highest, by[o.Life]/o.Capacity)
+		}
+	}
+	return highest / (total / capacity)
+}
+
+func loadOf(now time.Time, demand func(key int) float64) *keyspace.Load {
+	load := keyspace.NewLoad(now)
+	for key := range fleet.Keys {
+		if d := demand(key); d > 0 {
+			load.Add(uint16(key), d)
+		}
+	}
+	return load
+}
+
+func (w *world) rounds(count int, list []keyspace.Owner, demand func(key int) float64) (moves int) {
+	load := loadOf(time.Now(), demand)
+	for range count {
+		plan := keyspace.Plan(w.slices, list, load)
+		moves += len(plan)
+		w.apply(plan)
+		w.settle()
+	}
+	return moves
+}
+
+func even(int) float64 { return 14.0 / fleet.Keys }
+
+// hotSet puts two fifths of the demand on 200 neighbouring keys.
+func hotSet(key int) float64 {
+	if key >= 5000 && key < 5200 {
+		return 0.6*14.0/fleet.Keys + 0.4*14.0/200
+	}
+	return 0.6 * 14.0 / fleet.Keys
+}
+
+// TestHotSetIsSpread: a hot set that appears on one owner is divided within the
+// two plans that fit into half a second.
+func TestHotSetIsSpread(t *testing.T) {
+	list := owners(14)
+	w := &world{}
+	w.apply(keyspace.Initial(list))
+	w.settle()
+	before := w.utilisation(list, hotSet)
+	w.rounds(2, list, hotSet)
+	w.check(t)
+	after := w.utilisation(list, hotSet)
+	assert.Assert(t, before > 4 && after < 1.5, "before %f, after %f of the mean", before, after)
+}
+
+// TestEvenLoadStays: no keys move without need.
+func TestEvenLoadStays(t *testing.T) {
+	list := owners(14)
+	w := &world{}
+	w.apply(keyspace.Initial(list))
+	w.settle()
+	assert.Equal(t, w.rounds(3, list, even), 0)
+}
+
+// TestSingleHotKeyStaysAlone: a key that no owner can bear is not passed around,
+// and the other keys of its owner go elsewhere.
+func TestSingleHotKeyStaysAlone(t *testing.T) {
+	list := owners(8)
+	w := &world{}
+	w.apply(keyspace.Initial(list))
+	w.settle()
+	demand := func(key int) float64 {
+		if key == 700 {
+			return 4
+		}
+		return 4.0 / fleet.Keys
+	}
+	w.rounds(6, list, demand)
+	moved := w.rounds(6, list, demand)
+	assert.Assert(t, moved <= 2, "%d more moves after six plans", moved)
+}
+
+// TestLeavingOwnerIsEmptied in one plan, spread over the others.
+func TestLeavingOwnerIsEmptied(t *testing.T) {
+	list := owners(8)
+	w := &world{}
+	w.apply(keyspace.Initial(list))
+	w.settle()
+	list[3].Capacity = 0
+	w.rounds(1, list, even)
+	w.check(t)
+	for _, s := range w.slices {
+		assert.Assert(t, s.Owner != list[3].Life)
+	}
+	assert.Assert(t, w.utilisation(list, even) < 1.5, "%f", w.utilisation(list, even))
+}
+
+// TestEmptyOwnerGetsKeys even while the load is low.
+func TestEmptyOwnerGetsKeys(t *testing.T) {
+	list := owners(4)
+	w := &world{}
+	w.apply(keyspace.Initial(list))
+	w.settle()
+	list = append(list, keyspace.Owner{Life: fleet.Life{ID: "new", Born: 1}, Capacity: 2})
+	w.rounds(2, list, func(int) float64 { return 1.0 / fleet.Keys })
+	w.check(t)
+	found := false
+	for _, s := range w.slices {
+		found = found || s.Owner.ID == "new"
+	}
+	assert.Assert(t, found)
+}
+
+// TestFormerOwnersAreKept until they are known to hold nothing: a slice that
+// moves on before its move has ended lists both.
+func TestFormerOwnersAreKept(t *testing.T) {
+	a, b, c := fleet.Life{ID: "a"}, fleet.Life{ID: "b"}, fleet.Life{ID: "c"}
+	w := &world{slices: []fleet.Slice{{First: 0, Last: 65535, Owner: a, Fence: 1, Ready: true}}, fence: 1}
+	w.apply([]keyspace.Move{{First: 0, Last: 99, To: b}})
+	w.apply([]keyspace.Move{{First: 0, Last: 49, To: c}})
+	w.check(t)
+	assert.DeepEqual(t, w.slices[0].From, []fleet.Life{a, b})
+	assert.DeepEqual(t, w.slices[1].From, []fleet.Life{a})
+	assert.Equal(t, w.slices[2].Fence, uint64(1))
+	assert.Assert(t, w.slices[0].Fence > w.slices[1].Fence && !w.slices[0].Ready)
+}
+
+// TestPlansKeepOneOwner under any sequence of joins, losses and demand; fences
+// rise for every key that changes its owner.
+func TestPlansKeepOneOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := owners(rapid.IntRange(1, 9).Draw(t, "owners"))
+		w := &world{}
+		w.apply(keyspace.Initial(list))
+		w.settle()
+		for range rapid.IntRange(1, 6).Draw(t, "steps") {
+			for i := range list {
+				list[i].Capacity = rapid.SampledFrom([]float64{0, 0.1, 1, 2, 4}).Draw(t, "capacity")
+			}
+			centre := rapid.IntRange(0, fleet.Keys-1).Draw(t, "centre")
+			before := append([]fleet.Slice(nil), w.slices...)
+			w.rounds(1, list, func(key int) float64 {
+				if key >= centre && key < centre+50 {
+					return 0.2
+				}
+				return 1.0 / fleet.Keys
+			})
+			w.check(t)
+			for _, s := range w.slices {
+				old := fleet.Find(before, s.First)
+				if old.Owner != s.Owner && s.Fence <= old.Fence {
+					t.Fatalf("key %d moved at fence %d after %d", s.First, s.Fence, old.Fence)
+				}
+			}
+		}
+	})
+}
