--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -38,13 +38,6 @@
 	Release(ctx context.Context, address string, slice fleet.Slice) (handover string, err error)
 }
 
-// Store is the part of the platform's store that a coordinator uses.
-type Store interface {
-	store.Store
-	// Probe makes the cheapest call that shows whether the store answers.
-	Probe(ctx context.Context, name string) error
-}
-
 // Config configures a Coordinator.
 type Config struct {
 	Self          fleet.Member
@@ -54,7 +47,7 @@
 	RecordName string
 	Names      observer.Names
 	Loop       *loop.Loop
-	Store      Store
+	Store      store.Store
 	Sender     peer.ControlSender
 	Targets    Targets
 	// LongestHold is the longest grant that targets accept.
@@ -65,6 +58,9 @@
 	Observe func(service, target string) (admission.Observation, bool)
 	// Demand hands out the own broker's measured demand for keys of a service.
 	Demand func(service string, now time.Time, use func(*keyspace.Load))
+	// Uptime is the time since the VM's start, with the time for which it was
+	// suspended.
+	Uptime func() time.Duration
 	Logger *zerolog.Logger
 }
 
@@ -84,8 +80,12 @@
 	yielding   bool
 	have       *peerv1.PartVersions
 	lookAt     time.Time
-	lookPause  time.Duration
-	looking    bool
+	// seenRevision is the record's revision when it was last read, seenSince when
+	// it was first read at that revision.
+	seenRevision int64
+	seenSince    time.Time
+	lookPause    time.Duration
+	looking      bool
 	// leaderEnded is set once the leader's process is known to be gone.
 	leaderEnded bool
 
--- /dev/null
+++ b/internal/process/coordinator/coordinator_test.go
@@ -0,0 +1,342 @@
+package coordinator_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/seed"
+)
+
+// leader returns the name of the VM that leads, and how many VMs do.
+func (w *world) leader() (name string, count int) {
+	w.mu.Lock()
+	nodes := make([]*node, 0, len(w.nodes))
+	for _, n := range w.nodes {
+		nodes = append(nodes, n)
+	}
+	w.mu.Unlock()
+	for _, n := range nodes {
+		leads := false
+		if n.loop.Call(func() { leads = n.coordinator.Leads() }) && leads {
+			name = n.name
+			count++
+		}
+	}
+	return name, count
+}
+
+// servedWithin waits until all keys are held and returns how long that took.
+func (w *world) servedWithin(limit time.Duration) time.Duration {
+	began := time.Now()
+	for time.Since(began) < limit {
+		if w.held() == sampled {
+			return time.Since(began)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	w.problem("%d of %d keys are held %s after they should be", w.held(), sampled, limit)
+	return limit
+}
+
+// longestGap watches the keys for a time and returns the longest time for which
+// one of them was held by nobody.
+func (w *world) longestGap(watch time.Duration) time.Duration {
+	var since [sampled]time.Time
+	longest := time.Duration(0)
+	for began := time.Now(); time.Since(began) < watch; time.Sleep(10 * time.Millisecond) {
+		for i, held := range w.heldKeys() {
+			switch {
+			case held:
+				since[i] = time.Time{}
+			case since[i].IsZero():
+				since[i] = time.Now()
+			default:
+				longest = max(longest, time.Since(since[i]))
+			}
+		}
+	}
+	return longest
+}
+
+// servedAgain is the time within which keys are to be served again after a loss.
+const servedAgain = time.Second
+
+// check reports a problem unless a condition holds. Assertions would leave the
+// bubble with goroutines running.
+func (w *world) check(holds bool, format string, args ...any) {
+	if !holds {
+		w.problem(format, args...)
+	}
+}
+
+func TestStart(t *testing.T) {
+	run(t, seed.Value, 5, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		_, count := w.leader()
+		w.check(count == 1, "%d leaders", count)
+	})
+}
+
+// TestLeaderKilled: another VM leads within a second and the keys stay held.
+func TestLeaderKilled(t *testing.T) {
+	run(t, seed.Value, 5, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		name, _ := w.leader()
+		w.killNode(name)
+		gap := w.longestGap(4 * time.Second)
+		w.check(gap < servedAgain, "a key was held by nobody for %s", gap)
+		next, count := w.leader()
+		w.check(count == 1 && next != name, "%d leaders, %s after %s", count, next, name)
+	})
+}
+
+// TestTargetEnded: keys of a target whose port refuses connections are served
+// again within a second and the renewal that notices it.
+func TestTargetEnded(t *testing.T) {
+	run(t, seed.Value, 3, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		time.Sleep(2 * time.Second)
+		w.endTarget("t2")
+		took := w.servedWithin(4 * time.Second)
+		w.check(took < 2*time.Second, "keys were served again after %s", took)
+	})
+}
+
+// TestTargetSilent: keys of a silent target wait until its grants have run out.
+func TestTargetSilent(t *testing.T) {
+	run(t, seed.Value, 3, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		time.Sleep(8 * time.Second)
+		w.mu.Lock()
+		w.targets["t2"].silent = true
+		w.mu.Unlock()
+		time.Sleep(time.Second)
+		w.leaveTarget("t2")
+		w.servedWithin(8 * time.Second)
+	})
+}
+
+// TestStoreOutage: grants are renewed throughout.
+func TestStoreOutage(t *testing.T) {
+	run(t, seed.Value, 5, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		w.outage = true
+		w.mu.Unlock()
+		gap := w.longestGap(10 * time.Second)
+		w.check(gap < servedAgain, "a key was held by nobody for %s", gap)
+	})
+}
+
+// TestLeaderTurnedAwayByTheStore: a VM that reaches the store takes over.
+func TestLeaderTurnedAwayByTheStore(t *testing.T) {
+	run(t, seed.Value, 5, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		name, _ := w.leader()
+		w.mu.Lock()
+		w.cut[name+">store"] = true
+		w.mu.Unlock()
+		gap := w.longestGap(2500 * time.Millisecond)
+		w.check(gap < servedAgain, "a key was held by nobody for %s", gap)
+		next, count := w.leader()
+		w.check(count == 1 && next != name, "%d leaders, %s after %s", count, next, name)
+	})
+}
+
+// TestDrainIsFollowed: a target that announces its end holds nothing after the
+// two seconds in which it still takes requests.
+func TestDrainIsFollowed(t *testing.T) {
+	run(t, seed.Value, 5, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		time.Sleep(time.Second)
+		w.leaveTarget("t1")
+		time.Sleep(2 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for i := range sampled {
+			w.check(w.targets["t1"].keys[i].until.Before(time.Now()), "key %d is still held", i)
+		}
+	})
+}
+
+// TestRestartOfEverything: after all VMs have lost power the first to come back
+// goes on from the record, at rising fences.
+func TestRestartOfEverything(t *testing.T) {
+	run(t, seed.Value, 4, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		time.Sleep(3 * time.Second)
+		for i := range 4 {
+			w.killNode(fmt.Sprintf("n%d", i))
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for i := range 4 {
+			w.startNode(fmt.Sprintf("n%d", i))
+		}
+		w.servedWithin(3 * time.Second)
+	})
+}
+
+// TestTargetStartsAgainUnderItsName: its former life holds nothing, the new one
+// gets keys at higher fences.
+func TestTargetStartsAgainUnderItsName(t *testing.T) {
+	run(t, seed.Value, 3, 5, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		time.Sleep(time.Second)
+		w.endTarget("t2")
+		time.Sleep(300 * time.Millisecond)
+		w.startTarget("t2")
+		w.servedWithin(4 * time.Second)
+	})
+}
+
+// randomWorlds is the number of random worlds; CI plays the default.
+var randomWorlds = flag.Uint64("worlds", 60, "number of random worlds")
+
+// TestRandomWorlds plays faults in series and at once: killed, frozen and cut
+// VMs, targets that end, fall silent, leave and start again, a store that is
+// down, loses answers or turns VMs away, and orders that are carried out late.
+// No key may ever have two owners, and all are held once the faults are over.
+func TestRandomWorlds(t *testing.T) {
+	for i := range *randomWorlds {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
+			run(t, seed.Value+i, 4, 5, func(w *world) {
+				w.servedWithin(2 * time.Second)
+				for range 20 {
+					w.randomFault()
+					time.Sleep(time.Duration(200+w.random.IntN(1800)) * time.Millisecond)
+				}
+				w.heal()
+				w.servedWithin(16 * time.Second)
+			})
+		})
+	}
+}
+
+func (w *world) randomFault() {
+	name := fmt.Sprintf("n%d", w.random.IntN(4))
+	id := fmt.Sprintf("t%d", w.random.IntN(5))
+	if w.random.IntN(2) == 0 {
+		if leader, _ := w.leaderWithin(); leader != "" {
+			name = leader
+		}
+	}
+	for2s := time.Duration(500+w.random.IntN(4000)) * time.Millisecond
+	kind := w.random.IntN(12)
+	w.set(func() { w.note("fault %d, %s, %s, %s", kind, name, id, for2s) })
+	switch kind {
+	case 0:
+		w.killNode(name)
+		time.AfterFunc(for2s/3, func() { w.restartNode(name) })
+	case 1:
+		w.mu.Lock()
+		n := w.nodes[name]
+		w.mu.Unlock()
+		if n != nil {
+			n.freeze(for2s)
+		}
+	case 2:
+		w.cutFor(for2s, name+">store")
+	case 3:
+		for i := range 4 {
+			other := fmt.Sprintf("n%d", i)
+			w.cutFor(for2s, name+">"+other)
+			if w.random.IntN(2) == 0 {
+				w.cutFor(for2s, other+">"+name)
+			}
+		}
+	case 4:
+		w.cutFor(for2s, name+">"+id)
+	case 5:
+		w.set(func() { w.outage = true })
+		time.AfterFunc(for2s, func() { w.set(func() { w.outage = false }) })
+	case 6:
+		w.set(func() { w.loseAnswers = 0.4 })
+		time.AfterFunc(for2s, func() { w.set(func() { w.loseAnswers = 0 }) })
+	case 7:
+		w.set(func() { w.lateOrders = 0.3 })
+		time.AfterFunc(for2s, func() { w.set(func() { w.lateOrders = 0 }) })
+	case 8:
+		w.set(func() { w.targets[id].silent = true })
+		time.AfterFunc(for2s, func() { w.set(func() { w.targets[id].silent = false }) })
+	case 9:
+		w.endTarget(id)
+		time.AfterFunc(for2s/2, func() { w.startTarget(id) })
+	case 10:
+		w.leaveTarget(id)
+		time.AfterFunc(for2s, func() { w.returnTarget(id) })
+	case 11:
+		w.remove("servers/" + id)
+		time.AfterFunc(for2s, func() { w.returnTarget(id) })
+	}
+}
+
+// leaderWithin is leader without waiting for frozen VMs.
+func (w *world) leaderWithin() (string, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range w.nodes {
+		n.mu.Lock()
+		name := n.view.Leader.VM
+		n.mu.Unlock()
+		if w.nodes[name] != nil {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+func (w *world) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
+func (w *world) cutFor(duration time.Duration, pair string) {
+	w.set(func() { w.cut[pair] = true })
+	time.AfterFunc(duration, func() { w.set(func() { delete(w.cut, pair) }) })
+}
+
+func (w *world) restartNode(name string) {
+	w.mu.Lock()
+	running := w.nodes[name] != nil
+	w.mu.Unlock()
+	if !running {
+		w.startNode(name)
+	}
+}
+
+// returnTarget registers a target again that had left or lapsed, in the same life.
+func (w *world) returnTarget(id string) {
+	w.mu.Lock()
+	target := w.targets[id].Target
+	w.mu.Unlock()
+	w.put("servers/"+id, target)
+}
+
+// heal ends all faults.
+func (w *world) heal() {
+	time.Sleep(6 * time.Second)
+	w.set(func() {
+		clear(w.cut)
+		w.outage, w.loseAnswers, w.lateOrders = false, 0, 0
+	})
+	for i := range 4 {
+		w.restartNode(fmt.Sprintf("n%d", i))
+	}
+	for i := range 5 {
+		id := fmt.Sprintf("t%d", i)
+		w.mu.Lock()
+		ended := w.targets[id].ended
+		w.targets[id].silent = false
+		w.mu.Unlock()
+		if ended {
+			w.startTarget(id)
+		} else {
+			w.returnTarget(id)
+		}
+	}
+}
--- a/internal/process/coordinator/election.go
+++ b/internal/process/coordinator/election.go
@@ -10,9 +10,10 @@
 	// silentAfter is the time without a word of the leader after which a VM looks
 	// for another: three heartbeats.
 	silentAfter = 800 * time.Millisecond
-	// aloneAfter is the time without a word of the leader after which a VM that
-	// knows no others, or hears none of them, takes over.
-	aloneAfter = 3 * time.Second
+	// aloneAfter is the time for which the record stays as it is after which a VM
+	// that hears nobody takes over: a leader that reaches the store writes it
+	// every 1.5 s.
+	aloneAfter = 3500 * time.Millisecond
 	// rankStep spreads the VMs that look for a leader, so that the first is done
 	// before the second reads the store.
 	rankStep = 40 * time.Millisecond
@@ -36,24 +37,26 @@
 	known, asked, deaf int
 	// silentFor is how long the leader has not been heard.
 	silentFor time.Duration
+	// unchangedFor is how long the record has been seen unchanged.
+	unchangedFor time.Duration
 }
 
 // mayTakeOver decides whether a VM that has read an unchanged record becomes
 // the leader. A leader that only this VM cannot hear is left in place.
 func mayTakeOver(e evidence) (bool, string) {
 	switch {
-	case e.ended:
-		return true, "process-ended"
 	case e.yielding:
 		return true, "leader-yields"
+	case e.asked > e.deaf:
+		return false, "others-hear"
+	case e.ended:
+		return true, "process-ended"
 	case e.silentFor < silentAfter:
 		return false, "heard"
-	case e.asked > 0 && e.deaf == e.asked && 2*(e.deaf+1) >= e.known:
+	case e.asked > 0 && 2*(e.deaf+1) >= min(e.known, askCount):
 		return true, "most-do-not-hear"
-	case e.asked > 0 && e.deaf < e.asked:
-		return false, "others-hear"
-	case e.silentFor >= aloneAfter:
-		return true, "silent"
+	case e.unchangedFor >= aloneAfter:
+		return true, "record-unchanged"
 	}
 	return false, "too-early"
 }
--- a/internal/process/coordinator/keeper.go
+++ b/internal/process/coordinator/keeper.go
@@ -17,6 +17,8 @@
 	clockSlack = 0.03
 	// holdMargin covers the way of a grant and the timers of both sides.
 	holdMargin = 250 * time.Millisecond
+	// retryOrder is the pause before an order is repeated that failed.
+	retryOrder = 200 * time.Millisecond
 	// refusalsToEnd is the number of refused connections, one after the other,
 	// that show that a process has ended.
 	refusalsToEnd = 2
@@ -33,15 +35,32 @@
 	slices map[string][]fleet.Slice
 	// mayHoldUntil is when the last grant that a target may have got runs out.
 	mayHoldUntil map[fleet.Life]time.Time
-	// heldBefore is when every grant of earlier leaders has run out.
+	// alone is set once no former leader can give out grants any more; those that
+	// it gave run out by heldBefore.
+	alone      bool
 	heldBefore time.Time
+	// formerIsGone is set if the former leader's process is known to be gone, so
+	// that it gives nothing to anybody.
+	formerIsGone bool
 	// handovers are the words of former owners on their keys, by the slice's fence.
 	handovers map[uint64]string
 	// refusals counts refused connections, one after the other, by target.
 	refusals map[fleet.Life]int
+	// gone are lives that are over; they get no more orders, which another life
+	// at the same address would take.
+	gone map[fleet.Life]bool
+	// underWay counts the orders to a life that have not ended; late is set if
+	// one ended other than refused after the life was over, so that the next life
+	// at the address may have taken it.
+	underWay map[fleet.Life]int
+	late     map[fleet.Life]bool
 	// ordering are the slices with an order under way, by fence and target.
 	ordering map[order]bool
-	renewAt  map[sliceID]time.Time
+	// retryAt is when an order that failed may be repeated.
+	retryAt map[order]time.Time
+	renewAt map[sliceID]time.Time
+	// readySince is when a slice's owner first confirmed its grant.
+	readySince map[sliceID]time.Time
 }
 
 // sliceID identifies a slice. Parts of a slice that was cut share its fence.
@@ -69,13 +88,12 @@
 	handover string
 }
 
-// newKeeper takes over the slices of a record. Grants of earlier leaders may
-// run until heldBefore.
-func newKeeper(slices map[string][]fleet.Slice, heldBefore time.Time) *keeper {
+// newKeeper takes over the slices of a record.
+func newKeeper(slices map[string][]fleet.Slice) *keeper {
 	k := &keeper{
-		slices: map[string][]fleet.Slice{}, mayHoldUntil: map[fleet.Life]time.Time{}, heldBefore: heldBefore,
-		handovers: map[uint64]string{}, refusals: map[fleet.Life]int{}, ordering: map[order]bool{},
-		renewAt: map[sliceID]time.Time{},
+		slices: map[string][]fleet.Slice{}, mayHoldUntil: map[fleet.Life]time.Time{},
+		handovers: map[uint64]string{}, refusals: map[fleet.Life]int{}, gone: map[fleet.Life]bool{}, underWay: map[fleet.Life]int{}, late: map[fleet.Life]bool{}, ordering: map[order]bool{}, retryAt: map[order]time.Time{},
+		renewAt: map[sliceID]time.Time{}, readySince: map[sliceID]time.Time{},
 	}
 	for service, list := range slices {
 		k.slices[service] = append([]fleet.Slice(nil), list...)
@@ -89,19 +107,35 @@
 	k.slices[service] = append([]fleet.Slice(nil), list...)
 }
 
-// ended notes that a life of a target is over: it holds nothing.
-func (k *keeper) ended(life fleet.Life) bool {
-	changed := false
-	k.mayHoldUntil[life] = time.Time{}
-	for service, list := range k.slices {
+// formerEnded notes that no former leader gives out grants after a time.
+func (k *keeper) formerEnded(after time.Time) {
+	k.alone = true
+	k.heldBefore = after.Add(longestHeld(usualHold))
+}
+
+// longestHeld is how long after its arrival a grant may be in force.
+func longestHeld(hold time.Duration) time.Duration {
+	return time.Duration(float64(hold)*(1+clockSlack)) + holdMargin
+}
+
+// ended notes that a life of a target is over.
+func (k *keeper) ended(life fleet.Life) { k.gone[life] = true }
+
+// startedAgain notes that a target runs in a newer life. Orders to the former
+// one may have reached the new one, so that has to release the keys.
+func (k *keeper) startedAgain(former, present fleet.Life) {
+	k.gone[former] = true
+	for _, list := range k.slices {
 		for i := range list {
-			if without(&list[i], life) {
-				changed = true
+			if !slices.Contains(list[i].From, former) {
+				continue
+			}
+			without(&list[i], former)
+			if !slices.Contains(list[i].From, present) && list[i].Owner != present {
+				list[i].From = append(list[i].From, present)
 			}
 		}
-		k.slices[service] = list
 	}
-	return changed
 }
 
 // without removes a former owner from a slice.
@@ -114,13 +148,13 @@
 	return true
 }
 
-// runsOut returns when the last grant that a target may have runs out.
-func (k *keeper) runsOut(life fleet.Life) time.Time {
-	at, known := k.mayHoldUntil[life]
-	if known && (at.IsZero() || at.After(k.heldBefore)) {
-		return at
+// mayHold reports whether a target may have a grant in force. One whose life is
+// over has none, once no former leader can send grants to its address.
+func (k *keeper) mayHold(life fleet.Life, now time.Time) bool {
+	if k.gone[life] && !k.late[life] && k.underWay[life] == 0 && k.alone && (k.formerIsGone || now.After(k.heldBefore)) {
+		return false
 	}
-	return k.heldBefore
+	return !k.alone || now.Before(k.heldBefore) || now.Before(k.mayHoldUntil[life])
 }
 
 // expire drops former owners whose grants have run out.
@@ -129,7 +163,7 @@
 	for service, list := range k.slices {
 		for i := range list {
 			for _, life := range slices.Clone(list[i].From) {
-				if now.After(k.runsOut(life)) {
+				if !k.mayHold(life, now) {
 					without(&list[i], life)
 					freed = append(freed, list[i])
 				}
@@ -161,13 +195,14 @@
 
 // add adds a task unless it is under way or not due yet.
 func (k *keeper) add(tasks []task, t task, now time.Time) []task {
-	if k.ordering[t.order] {
+	if k.ordering[t.order] || k.gone[t.target] || now.Before(k.retryAt[t.order]) {
 		return tasks
 	}
 	if !t.release && t.slice.Ready && now.Before(k.renewAt[idOf(&t.slice)]) {
 		return tasks
 	}
 	k.ordering[t.order] = true
+	k.underWay[t.target]++
 	return append(tasks, t)
 }
 
@@ -185,24 +220,41 @@
 // granted notes the end of a grant; unless it was refused, the target may hold
 // the keys until the hold has run out. It reports whether the slice became ready.
 func (k *keeper) granted(t task, ok bool, hold time.Duration, now time.Time) bool {
-	delete(k.ordering, t.order)
-	until := now.Add(time.Duration(float64(hold)*(1+clockSlack)) + holdMargin)
+	k.orderEnded(t)
+	k.late[t.target] = k.late[t.target] || k.gone[t.target]
+	until := now.Add(longestHeld(hold))
 	if until.After(k.mayHoldUntil[t.target]) {
 		k.mayHoldUntil[t.target] = until
 	}
+	if !ok {
+		k.retryAt[t.order] = now.Add(retryOrder)
+		return false
+	}
+	delete(k.retryAt, t.order)
 	s := k.find(t.order)
-	if !ok || s == nil || s.Owner != t.target || len(s.From) > 0 {
+	if s == nil || s.Owner != t.target || len(s.From) > 0 {
 		return false
 	}
 	k.refusals[t.target] = 0
 	k.renewAt[idOf(s)] = now.Add(renewEvery)
 	became := !s.Ready
+	if became {
+		k.readySince[idOf(s)] = now
+	}
 	s.Ready = true
 	return became
 }
 
-// failed notes an order without success.
-func (k *keeper) failed(t task) { delete(k.ordering, t.order) }
+// failed notes an order that took no effect.
+func (k *keeper) failed(t task, now time.Time) {
+	k.orderEnded(t)
+	k.retryAt[t.order] = now.Add(retryOrder)
+}
+
+func (k *keeper) orderEnded(t task) {
+	delete(k.ordering, t.order)
+	k.underWay[t.target]--
+}
 
 // refusedConnection counts a refused connection and reports whether the process
 // has ended.
@@ -214,7 +266,8 @@
 // released notes the answer to a release and reports whether it was the last
 // that the slice waited for.
 func (k *keeper) released(t task, handover string) bool {
-	delete(k.ordering, t.order)
+	k.orderEnded(t)
+	delete(k.retryAt, t.order)
 	k.refusals[t.target] = 0
 	s := k.find(t.order)
 	if s == nil || !without(s, t.target) {
@@ -225,14 +278,3 @@
 	}
 	return len(s.From) == 0
 }
-
-// renewNow makes the grants of a target due.
-func (k *keeper) renewNow(life fleet.Life) {
-	for _, list := range k.slices {
-		for i := range list {
-			if list[i].Owner == life {
-				delete(k.renewAt, idOf(&list[i]))
-			}
-		}
-	}
-}
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -23,6 +23,9 @@
 	// minCapacity keeps a slow target from being left without any keys, so that
 	// its speed is still measured.
 	minCapacity = 0.05
+	// refenceAfter is how long a slice must have been ready before a refusal of its
+	// owner counts: requests that were sent earlier are still on their way.
+	refenceAfter = 500 * time.Millisecond
 	// settle is how long a new leader waits for the declarations before it takes
 	// keys from targets that are not declared.
 	settle = 300 * time.Millisecond
@@ -34,13 +37,11 @@
 	if c.view.Config == nil || !c.observer.Complete() {
 		return
 	}
-	if !c.mayAct(now) {
+	if !c.mayAct() {
 		return
 	}
-	if freed := l.keeper.expire(now); len(freed) > 0 {
-		for _, s := range freed {
-			events.GrantsRanOut.Log(c.config.Logger).Int("first", int(s.First)).Int("last", int(s.Last)).Uint64("fence", s.Fence).Send()
-		}
+	for _, s := range l.keeper.expire(now) {
+		events.GrantsRanOut.Log(c.config.Logger).Int("first", int(s.First)).Int("last", int(s.Last)).Uint64("fence", s.Fence).Send()
 	}
 	if !l.writing && !now.Before(l.planAt) && now.Sub(l.since) > settle {
 		l.planAt = now.Add(planEvery)
@@ -88,7 +89,7 @@
 }
 
 func (c *Coordinator) capacity(t *fleet.Target, observed admission.Observation, now time.Time) float64 {
-	if !c.view.Usable(t) || observed.Refused || c.lead.keeper.refusals[t.Life] >= refusalsToEnd {
+	if !c.view.Usable(t) || c.lead.keeper.gone[t.Life] {
 		return 0
 	}
 	capacity := float64(t.Slots)
@@ -108,42 +109,26 @@
 	fence := l.record.LastFence
 	list := keyspace.Apply(current, moves, func() uint64 { fence++; return fence })
 	record := l.next(service, list, fence)
-	l.writing = true
-	revision := l.revision
-	go func() {
-		began := time.Now()
-		version, err := c.writeRecord(&record, revision)
-		c.config.Loop.Post(func() {
-			if c.lead != l {
-				return
-			}
-			l.writing = false
-			c.movesWritten(service, moves, record, version, began, err)
-		})
-	}()
+	c.write(record, func(err error) {
+		if err != nil {
+			events.MovesNotWritten.Log(c.config.Logger).Str("service", service).Int("moves", len(moves)).Err(err).Send()
+			return
+		}
+		c.beginMoves(service, moves)
+	})
 }
 
-// movesWritten begins moves that are in the record.
-func (c *Coordinator) movesWritten(service string, moves []keyspace.Move, record fleet.Record, revision int64, began time.Time, err error) {
+// beginMoves begins moves that are in the record.
+func (c *Coordinator) beginMoves(service string, moves []keyspace.Move) {
 	l := c.lead
-	l.storeContact(err, time.Now())
-	if fault.Is(err, fault.Conflict) {
-		c.stepDown("the record has been changed by another VM")
-		return
-	}
-	if err != nil {
-		events.MovesNotWritten.Log(c.config.Logger).Str("service", service).Int("moves", len(moves)).Err(err).Send()
-		return
-	}
 	for _, m := range moves {
 		events.MovePlanned.Log(c.config.Logger).Str("service", service).Int("first", int(m.First)).Int("last", int(m.Last)).
-			Str("to", m.To.ID).Uint64("term", record.Term).Int64("revision", revision).Send()
+			Str("to", m.To.ID).Uint64("term", l.record.Term).Int64("revision", l.revision).Send()
 	}
 	// Releases that were answered while the record was written are in the
 	// keeper and not in the record.
-	list := mergeProgress(record.Slices[service], l.keeper.slices[service])
-	l.record, l.revision, l.confirmedAt = record, revision, began
-	l.keeper.replace(service, list)
+	l.keeper.replace(service, mergeProgress(l.record.Slices[service], l.keeper.slices[service]))
+	c.noteLives(c.view.Targets)
 	c.slicesChanged()
 	for _, t := range l.keeper.due(time.Now()) {
 		c.carryOut(t)
@@ -180,9 +165,9 @@
 func (c *Coordinator) carryOut(t task) {
 	l := c.lead
 	target := c.view.Targets[t.target.ID]
-	if target == nil || target.Life != t.target {
-		// The address is not known; the grant has to run out.
-		l.keeper.failed(t)
+	if target == nil || target.Life != t.target || !c.mayAct() {
+		// Without an address the grants have to run out.
+		l.keeper.failed(t, time.Now())
 		return
 	}
 	address := target.Address
@@ -215,14 +200,15 @@
 	changed := false
 	switch {
 	case fault.Is(err, fault.NotFound):
-		k.failed(t)
+		k.failed(t, now)
 		if k.refusedConnection(t.target) {
-			changed = k.ended(t.target)
+			k.ended(t.target)
+			changed = true
 		}
 	case t.release && err == nil:
 		changed = k.released(t, handover)
 	case t.release:
-		k.failed(t)
+		k.failed(t, now)
 	default:
 		changed = k.granted(t, err == nil, usualHold, now)
 	}
@@ -263,9 +249,17 @@
 		Dur("took", took).Bool("changed", changed).AnErr("error", err).Send()
 }
 
-// NotOwner notes that a target refused a request for a key that it should own.
-func (c *Coordinator) NotOwner(life fleet.Life) {
-	if c.lead != nil {
-		c.lead.keeper.renewNow(life)
+// NotOwner notes that a target refused a request for a key that it should own:
+// it may have started again unnoticed, or a late release has taken the key. The
+// slice is granted anew at a fence of its own.
+func (c *Coordinator) NotOwner(service string, key uint16, life fleet.Life) {
+	l := c.lead
+	if l == nil || l.writing {
+		return
+	}
+	s := fleet.Find(l.keeper.slices[service], key)
+	if s == nil || s.Owner != life || !s.Ready || time.Since(l.keeper.readySince[idOf(s)]) < refenceAfter {
+		return
 	}
+	c.writeMoves(service, l.keeper.slices[service], []keyspace.Move{{First: s.First, Last: s.Last, To: s.Owner}})
 }
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -19,16 +19,19 @@
 	// authority is how long a leader acts after it was last known to be the one:
 	// by the store, or by a majority of the other VMs.
 	authority = 2 * time.Second
-	// probeEvery is the interval of the leader's probes of the store.
-	probeEvery = 500 * time.Millisecond
-	// probeTimeout bounds a probe.
-	probeTimeout = 600 * time.Millisecond
+	// touchEvery is the interval at which the leader writes the record if nothing
+	// else does, so that it learns of another leader and others see it alive.
+	touchEvery = 1500 * time.Millisecond
+	// touchRetry is the pause after a touch that failed.
+	touchRetry = 500 * time.Millisecond
+	// stall is the time without a tick after which this VM counts as having been
+	// stopped. Until it has heard anew for afterStall that it leads, it sends no
+	// orders: what waits in its connections is from before.
+	stall      = 600 * time.Millisecond
+	afterStall = 300 * time.Millisecond
 	// storeLostAfter is the time without an answer of the store after which the
 	// leader asks for another.
 	storeLostAfter = 900 * time.Millisecond
-	// confirmEvery is the interval at which a leader without a majority reads
-	// the record.
-	confirmEvery = 500 * time.Millisecond
 	// memberGone is the time after which a VM that does not report is forgotten.
 	memberGone = 4 * time.Second
 	// resendAfter is the time after which a part is sent again that a VM does
@@ -55,22 +58,26 @@
 	// encoded is the configuration as it is sent.
 	encoded []byte
 
-	// confirmedAt is when the store last showed that this VM leads.
-	confirmedAt time.Time
-	confirmAt   time.Time
-	confirming  bool
+	// confirmedAt is the uptime at which the store last showed that this VM leads.
+	confirmedAt time.Duration
+	touchAt     time.Time
+	// tickedAt and stalledAt are the uptimes of the last tick and of the last
+	// tick that came much too late.
+	tickedAt, stalledAt time.Duration
 	// since is when the leadership began.
 	since time.Time
+	// superseded is set once no former leader can act any more.
+	superseded bool
 
 	storeHeardAt time.Time
-	probeAt      time.Time
-	probing      bool
 	storeLost    bool
 
 	declarationsChanged bool
 	// pushAt is when pending changes are passed on; zero if there are none.
 	pushAt  time.Time
 	writing bool
+	// writes numbers the writes of the record, also those that failed.
+	writes uint64
 	// parts are the encoded parts of the present versions.
 	parts  parts
 	planAt time.Time
@@ -80,21 +87,23 @@
 type member struct {
 	fleet.Member
 	heardAt time.Time
-	term    uint64
-	leaving bool
+	// followedAt is the uptime at which the VM last said that it follows this one.
+	followedAt time.Duration
+	term       uint64
+	leaving    bool
 	// sent are the versions that were last sent, at sentAt.
 	sent   *peerv1.PartVersions
 	sentAt time.Time
 }
 
-// takeOver writes this VM into the record and leads if that succeeds. yielded
-// is set if the former leader asked for it.
-func (c *Coordinator) takeOver(former *fleet.Record, revision int64, why string, yielded bool) {
+// takeOver writes this VM into the record and leads if that succeeds.
+func (c *Coordinator) takeOver(former *fleet.Record, revision int64, why string, formerEnded bool) {
 	record := *former
 	record.Term++
 	record.Leader = c.config.Self
 	record.Write = 1
 	c.looking = true
+	began := c.config.Uptime()
 	go func() {
 		version, err := c.writeRecord(&record, revision)
 		c.config.Loop.Post(func() {
@@ -103,21 +112,25 @@
 				events.TakeoverFailed.Log(c.config.Logger).Uint64("term", record.Term).Str("reason", why).Err(err).Send()
 				return
 			}
-			c.lead = newLeadership(record, version, former.Term == 0, c.view, time.Now())
+			c.lead = newLeadership(record, version, formerEnded, c.view, time.Now())
+			c.lead.confirmedAt, c.lead.tickedAt = began, c.config.Uptime()
 			c.beginLeading(why, former)
 		})
 	}()
 }
 
-func newLeadership(record fleet.Record, revision int64, first bool, view *fleet.View, now time.Time) *leadership {
-	heldBefore := now.Add(authority + time.Duration(float64(usualHold)*(1+clockSlack)) + holdMargin)
-	if first {
-		heldBefore = now
-	}
+// newLeadership returns the state of a leader that has just been written into the
+// record. formerEnded is set if no former leader can act any more.
+func newLeadership(record fleet.Record, revision int64, formerEnded bool, view *fleet.View, now time.Time) *leadership {
 	l := &leadership{
-		record: record, revision: revision, keeper: newKeeper(record.Slices, heldBefore),
+		record: record, revision: revision, writes: record.Write, keeper: newKeeper(record.Slices),
 		members: map[string]*member{}, versions: &peerv1.PartVersions{Term: record.Term, Slices: 1, Members: 1},
-		confirmedAt: now, confirmAt: now, since: now, storeHeardAt: now,
+		since: now, storeHeardAt: now, touchAt: now.Add(touchEvery),
+	}
+	if formerEnded {
+		l.superseded = true
+		l.keeper.formerIsGone = true
+		l.keeper.formerEnded(now)
 	}
 	for name, m := range view.Members {
 		if name != record.Leader.VM {
@@ -160,12 +173,14 @@
 // leadTick does the leader's work that depends on time.
 func (c *Coordinator) leadTick(now time.Time) {
 	l := c.lead
+	c.noteStall()
 	if c.observer.Tick(now) {
 		l.declarationsChanged = true
 	}
 	c.dropMembers(now)
-	c.probeStore(now)
-	c.confirm(now)
+	c.noteStore(now)
+	c.supersede(now)
+	c.touch(now)
 	if l.declarationsChanged {
 		l.declarationsChanged = false
 		c.publishDeclared(now)
@@ -216,14 +231,14 @@
 	}
 }
 
-// noteLives ends the former lives of targets that have started again.
+// noteLives notes targets that have started again.
 func (c *Coordinator) noteLives(targets map[string]*fleet.Target) {
 	k := c.lead.keeper
 	for _, list := range k.slices {
 		for _, s := range list {
 			for _, life := range append(append([]fleet.Life(nil), s.From...), s.Owner) {
 				if t := targets[life.ID]; t != nil && t.Born > life.Born {
-					k.ended(life)
+					k.startedAgain(life, t.Life)
 				}
 			}
 		}
@@ -301,7 +316,7 @@
 		l.members[from.VM] = m
 		c.membersChanged()
 	}
-	m.heardAt, m.term, m.leaving = now, report.Term, report.Leaving
+	m.heardAt, m.followedAt, m.term, m.leaving = now, c.config.Uptime(), report.Term, report.Leaving
 	have := report.Have
 	if have == nil || have.Term != l.record.Term {
 		have = &peerv1.PartVersions{}
@@ -338,86 +353,104 @@
 	}
 }
 
+// noteStall notices that this VM has been stopped for a while.
+func (c *Coordinator) noteStall() {
+	l := c.lead
+	now := c.config.Uptime()
+	if l.tickedAt != 0 && now-l.tickedAt > stall {
+		l.stalledAt = now
+		l.touchAt = time.Time{}
+		events.LeaderStalled.Log(c.config.Logger).Uint64("term", l.record.Term).Dur("stopped", now-l.tickedAt).Send()
+	}
+	l.tickedAt = now
+}
+
 // mayAct reports whether this VM is known to lead: the store or a majority of
-// the VMs has said so lately.
-func (c *Coordinator) mayAct(now time.Time) bool {
+// the VMs has said so lately, and since it was last stopped.
+func (c *Coordinator) mayAct() bool {
 	l := c.lead
-	return now.Sub(l.confirmedAt) < authority || c.majority(now)
+	now := c.config.Uptime()
+	if now-l.tickedAt > stall || l.stalledAt != 0 && now-l.stalledAt < afterStall {
+		return false
+	}
+	return now-l.confirmedAt < authority && l.confirmedAt >= l.stalledAt || c.majority()
 }
 
-// majority reports whether most VMs follow this one.
-func (c *Coordinator) majority(now time.Time) bool {
+// majority reports whether most VMs follow this one. A VM follows one leader at
+// a time and never goes back to a lower term.
+func (c *Coordinator) majority() bool {
 	l := c.lead
+	now := c.config.Uptime()
 	following := 1
 	for _, m := range l.members {
-		if m.term == l.record.Term && now.Sub(m.heardAt) < authority {
+		if m.term == l.record.Term && now-m.followedAt < authority && m.followedAt >= l.stalledAt+afterStall/2 {
 			following++
 		}
 	}
 	return len(l.members) > 0 && 2*following > len(l.members)+1
 }
 
-// confirm reads the record while there is no majority.
-func (c *Coordinator) confirm(now time.Time) {
+// supersede notes when no former leader can act any more: most VMs follow this
+// one, or there are no others.
+func (c *Coordinator) supersede(now time.Time) {
 	l := c.lead
-	if l.confirming || l.writing || now.Before(l.confirmAt) || c.majority(now) && !l.writing {
+	if l.superseded || !c.majority() && len(l.members) > 0 {
 		return
 	}
-	l.confirming = true
-	l.confirmAt = now.Add(confirmEvery)
-	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
-		defer cancel()
-		object, err := c.config.Store.Get(ctx, c.config.RecordName)
-		c.config.Loop.Post(func() {
-			if c.lead != l {
-				return
-			}
-			l.confirming = false
-			l.storeContact(err, time.Now())
-			if err == nil && object.Version == l.revision {
-				l.confirmedAt = now
-			} else if err == nil && !l.writing {
-				c.checkOwn(object.Value, object.Version)
-			}
-		})
-	}()
+	l.superseded = true
+	l.keeper.formerEnded(now.Add(authority))
 }
 
-// checkOwn steps down if a record is not this VM's.
-func (c *Coordinator) checkOwn(value []byte, revision int64) {
+// noteStore tells the others when the store is lost or regained.
+func (c *Coordinator) noteStore(now time.Time) {
 	l := c.lead
-	var record fleet.Record
-	if err := json.Unmarshal(value, &record); err != nil || record.Leader.Incarnation != c.config.Self.Incarnation {
-		c.stepDown("the record names another VM")
+	lost := now.Sub(l.storeHeardAt) > storeLostAfter
+	if lost == l.storeLost {
 		return
 	}
-	if record.Write == l.record.Write {
-		l.revision = revision
-	}
+	l.storeLost = lost
+	events.StoreReach.Log(c.config.Logger).Bool("lost", lost).Dur("silent", now.Sub(l.storeHeardAt)).Send()
+	c.pushAll()
 }
 
-// probeStore keeps in touch with the store.
-func (c *Coordinator) probeStore(now time.Time) {
+// touch writes the record unchanged, but for the number of the write.
+func (c *Coordinator) touch(now time.Time) {
 	l := c.lead
-	lost := now.Sub(l.storeHeardAt) > storeLostAfter
-	if lost != l.storeLost {
-		l.storeLost = lost
-		events.StoreReach.Log(c.config.Logger).Bool("lost", lost).Dur("silent", now.Sub(l.storeHeardAt)).Send()
-		c.pushAll()
-	}
-	if l.probing || now.Before(l.probeAt) {
+	if l.writing || now.Before(l.touchAt) {
 		return
 	}
-	l.probing = true
-	l.probeAt = now.Add(probeEvery)
+	c.write(l.record, func(err error) {
+		if err != nil {
+			l.touchAt = time.Now().Add(touchRetry)
+		}
+	})
+}
+
+// write writes the leader's record and calls done on the loop while it leads.
+func (c *Coordinator) write(record fleet.Record, done func(error)) {
+	l := c.lead
+	l.writing = true
+	l.writes++
+	record.Write = l.writes
+	revision := l.revision
+	began := c.config.Uptime()
 	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
-		defer cancel()
-		err := c.config.Store.Probe(ctx, c.config.RecordName)
+		version, err := c.writeRecord(&record, revision)
 		c.config.Loop.Post(func() {
-			l.probing = false
+			if c.lead != l {
+				return
+			}
+			l.writing = false
 			l.storeContact(err, time.Now())
+			if fault.Is(err, fault.Conflict) {
+				c.stepDown("the record has been changed by another VM")
+				return
+			}
+			if err == nil {
+				l.record, l.revision, l.confirmedAt = record, version, began
+				l.touchAt = time.Now().Add(touchEvery)
+			}
+			done(err)
 		})
 	}()
 }
@@ -437,7 +470,7 @@
 	if err != nil {
 		return 0, err
 	}
-	for {
+	for unknown := false; ; time.Sleep(writeRetry) {
 		ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
 		version, err := c.config.Store.Put(ctx, c.config.RecordName, value, revision)
 		cancel()
@@ -447,10 +480,10 @@
 		if fault.Is(err, fault.Conflict) {
 			return c.readBack(record, err)
 		}
-		if !fault.Is(err, fault.UnknownOutcome) {
+		unknown = unknown || fault.Is(err, fault.UnknownOutcome)
+		if !unknown {
 			return 0, err
 		}
-		time.Sleep(writeRetry)
 	}
 }
 
@@ -475,7 +508,6 @@
 // next returns the record with changed slices of one service.
 func (l *leadership) next(service string, list []fleet.Slice, lastFence uint64) fleet.Record {
 	record := l.record
-	record.Write++
 	record.LastFence = lastFence
 	record.Slices = maps.Clone(record.Slices)
 	if record.Slices == nil {
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -247,22 +247,31 @@
 	switch {
 	case c.lead != nil || c.leaving:
 	case fault.Is(err, fault.NotFound):
-		c.takeOver(&fleet.Record{}, 0, "no-record", false)
+		c.takeOver(&fleet.Record{}, 0, "no-record", true)
 	case err != nil:
 		events.RecordUnreadable.Log(c.config.Logger).Err(err).Uint64("term", c.view.Term).Dur("silent", e.silentFor).Send()
 	case record.Term > c.view.Term && !e.ended:
 		c.follow(record, now)
 	default:
+		e.unchangedFor = c.unchangedFor(revision, now)
 		may, why := mayTakeOver(e)
 		events.LeaderMissed.Log(c.config.Logger).Uint64("term", record.Term).Str("leader", record.Leader.VM).
 			Dur("silent", e.silentFor).Int("known", e.known).Int("asked", e.asked).Int("deaf", e.deaf).
 			Bool("ended", e.ended).Bool("yielding", e.yielding).Bool("takes_over", may).Str("reason", why).Send()
 		if may {
-			c.takeOver(record, revision, why, e.yielding)
+			c.takeOver(record, revision, why, e.ended && !e.yielding)
 		}
 	}
 }
 
+// unchangedFor returns how long the record has been seen at a revision.
+func (c *Coordinator) unchangedFor(revision int64, now time.Time) time.Duration {
+	if revision != c.seenRevision {
+		c.seenRevision, c.seenSince = revision, now
+	}
+	return now.Sub(c.seenSince)
+}
+
 // follow turns to the leader that the record names.
 func (c *Coordinator) follow(record *fleet.Record, now time.Time) {
 	view := *c.view
--- /dev/null
+++ b/internal/process/coordinator/target_test.go
@@ -0,0 +1,187 @@
+package coordinator_test
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+// fakeTarget holds keys as the platform's servers do: it refuses a grant below
+// a fence that it has seen, lets grants run out, and answers a release when its
+// work has ended.
+type fakeTarget struct {
+	fleet.Target
+	ended bool
+	// silent targets neither take nor answer orders.
+	silent bool
+	keys   [sampled]heldKey
+}
+
+type heldKey struct {
+	seen  uint64
+	fence uint64
+	until time.Time
+}
+
+// workTime is how long a release waits for the work on the keys.
+const workTime = 60 * time.Millisecond
+
+func (w *world) startTarget(id string) {
+	target := &fakeTarget{Target: fleet.Target{
+		Life: fleet.Life{ID: id, Born: time.Now().UnixMilli()}, Service: service, Address: id + ":1", FailureDomain: "a", Slots: 2,
+	}}
+	w.mu.Lock()
+	if former := w.targets[id]; former != nil {
+		former.ended = true
+	}
+	w.targets[id] = target
+	w.mu.Unlock()
+	w.put("servers/"+id, target.Target)
+}
+
+// endTarget ends a target's process; its entry lapses later.
+func (w *world) endTarget(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.targets[id].ended = true
+}
+
+func (w *world) leaveTarget(id string) {
+	w.mu.Lock()
+	copied := w.targets[id].Target
+	w.mu.Unlock()
+	copied.Leaving = true
+	w.put("servers/"+id, copied)
+}
+
+// Grant implements coordinator.Targets.
+func (n *node) Grant(ctx context.Context, address string, slice fleet.Slice, hold time.Duration, _ string) error {
+	return n.order(ctx, address, func(target *fakeTarget, arrived time.Time) error {
+		return n.world.grant(target, slice, arrived.Add(hold))
+	})
+}
+
+// Release implements coordinator.Targets.
+func (n *node) Release(ctx context.Context, address string, slice fleet.Slice) (string, error) {
+	err := n.order(ctx, address, func(target *fakeTarget, _ time.Time) error {
+		n.world.release(target, slice)
+		return nil
+	})
+	if err == nil {
+		time.Sleep(workTime)
+	}
+	return "handover", err
+}
+
+// order carries an order to a target: at once, late and without an answer, or
+// not at all.
+func (n *node) order(ctx context.Context, address string, apply func(*fakeTarget, time.Time) error) error {
+	time.Sleep(2 * time.Millisecond)
+	w := n.world
+	id := address[:len(address)-2]
+	w.mu.Lock()
+	target := w.targets[id]
+	ended, silent := target.ended, target.silent || w.cut[n.name+">"+id]
+	w.mu.Unlock()
+	switch {
+	case silent:
+		<-ctx.Done()
+		return fault.New(fault.UnknownOutcome, "repeat", "no answer")
+	case ended:
+		return fault.Wrap(syscall.ECONNREFUSED, fault.NotFound, "give up", "refused")
+	case w.chance(&w.lateOrders):
+		arrived := time.Now()
+		go func() {
+			time.Sleep(2*time.Second + time.Duration(arrived.UnixNano()%10)*time.Second)
+			_ = apply(target, arrived)
+		}()
+		<-ctx.Done()
+		return fault.New(fault.UnknownOutcome, "repeat", "no answer")
+	}
+	return apply(target, time.Now())
+}
+
+// grant gives a target keys and checks that nobody else has them.
+func (w *world) grant(target *fakeTarget, slice fleet.Slice, until time.Time) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if target.ended {
+		return fault.New(fault.UnknownOutcome, "repeat", "no answer")
+	}
+	for i := range sampled {
+		if slice.Contains(sample(i)) && target.keys[i].seen > slice.Fence {
+			return fault.New(fault.Conflict, "use a higher fence", "a higher fence was seen")
+		}
+	}
+	for i := range sampled {
+		if !slice.Contains(sample(i)) {
+			continue
+		}
+		held := &target.keys[i]
+		held.seen = max(held.seen, slice.Fence)
+		held.fence = slice.Fence
+		if until.After(held.until) {
+			held.until = until
+		}
+		if time.Now().Before(held.until) {
+			w.checkKey(i, target)
+		}
+	}
+	return nil
+}
+
+func (w *world) release(target *fakeTarget, slice fleet.Slice) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range sampled {
+		if held := &target.keys[i]; slice.Contains(sample(i)) && slice.Fence >= held.fence {
+			held.seen = max(held.seen, slice.Fence)
+			held.until = time.Time{}
+		}
+	}
+}
+
+// checkKey compares a key's new owner with all others; the lock is held.
+func (w *world) checkKey(i int, owner *fakeTarget) {
+	now := time.Now()
+	for id, other := range w.targets {
+		if other == owner || other.ended {
+			continue
+		}
+		held := other.keys[i]
+		if now.Before(held.until) {
+			w.problem("key %d: granted to %s at fence %d while %s holds it at fence %d for %s",
+				sample(i), owner.ID, owner.keys[i].fence, id, held.fence, held.until.Sub(now))
+		}
+		if held.fence >= owner.keys[i].fence {
+			w.problem("key %d: granted to %s at fence %d after %s had it at fence %d",
+				sample(i), owner.ID, owner.keys[i].fence, id, held.fence)
+		}
+	}
+}
+
+// heldKeys tells which sampled keys a live target holds now.
+func (w *world) heldKeys() (held [sampled]bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range sampled {
+		for _, target := range w.targets {
+			held[i] = held[i] || !target.ended && time.Now().Before(target.keys[i].until)
+		}
+	}
+	return held
+}
+
+// held returns how many sampled keys a live target holds now.
+func (w *world) held() int {
+	count := 0
+	for _, held := range w.heldKeys() {
+		if held {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/process/coordinator/world_test.go
@@ -0,0 +1,367 @@
+package coordinator_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/coordinator"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/loop"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/observer"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/store"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/keyspace"
+)
+
+// world runs coordinators against targets that check fences, on the virtual
+// clock of a synctest bubble, and checks after every order that no key has two
+// owners and that fences rise.
+type world struct {
+	t      *testing.T
+	began  time.Time
+	random *rand.Rand
+
+	mu      sync.Mutex
+	memory  *store.Memory
+	nodes   map[string]*node
+	targets map[string]*fakeTarget
+	// cut holds pairs "from>to" without a path; "from>store" cuts from the store.
+	cut map[string]bool
+	// outage stops the store for everybody.
+	outage bool
+	// loseAnswers is the share of writes whose answers are lost.
+	loseAnswers float64
+	// lateOrders is the share of orders that are not answered and applied late.
+	lateOrders float64
+	calls      uint64
+	waiting    map[uint64]chan *peerv1.Control
+	problems   []string
+	// history is what happened, to explain problems.
+	history []string
+}
+
+// service is the only service of the world.
+const service = "keyed"
+
+// sampled are the keys that the world looks at.
+const sampled = 64
+
+func sample(i int) uint16 { return uint16(i * fleet.Keys / sampled) }
+
+type node struct {
+	world       *world
+	name        string
+	incarnation string
+	cancel      context.CancelFunc
+	loop        *loop.Loop
+	coordinator *coordinator.Coordinator
+	view        *fleet.View
+	mu          sync.Mutex
+}
+
+func newWorld(t *testing.T, seed uint64, nodes, targets int) *world {
+	w := &world{
+		t: t, began: time.Now(), random: rand.New(rand.NewPCG(seed, 7)), memory: store.NewMemory(), nodes: map[string]*node{},
+		targets: map[string]*fakeTarget{}, cut: map[string]bool{}, waiting: map[uint64]chan *peerv1.Control{},
+	}
+	config := fleet.Config{Version: 1, Services: []fleet.Service{{Name: service, Keyed: true}}}
+	w.put("config/main", config)
+	for i := range targets {
+		w.startTarget(fmt.Sprintf("t%d", i))
+	}
+	for i := range nodes {
+		w.startNode(fmt.Sprintf("n%d", i))
+	}
+	return w
+}
+
+// put writes an object as the platform does.
+func (w *world) put(name string, value any) {
+	content, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	found, _ := w.memory.Get(context.Background(), name)
+	if _, err := w.memory.Put(context.Background(), name, content, found.Version); err != nil {
+		panic(err)
+	}
+}
+
+func (w *world) remove(name string) {
+	if found, err := w.memory.Get(context.Background(), name); err == nil {
+		_ = w.memory.Delete(context.Background(), name, found.Version)
+	}
+}
+
+// startNode starts a coordinator as a new process.
+func (w *world) startNode(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls++
+	n := &node{world: w, name: name, incarnation: fmt.Sprintf("%s-%d", name, w.calls), loop: loop.New(), view: &fleet.View{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	logger := zerolog.New(historyWriter{w}).With().Str("vm", n.incarnation).Logger()
+	n.coordinator = coordinator.New(coordinator.Config{
+		Self:       fleet.Member{VM: name, Incarnation: n.incarnation, Address: name + ":1"},
+		RecordName: "own/record", Names: names, Loop: n.loop, Store: nodeStore{n}, Sender: n, Targets: n,
+		LongestHold: 10 * time.Second, Publish: n.publish, Observe: n.observe, Demand: n.demand,
+		Uptime: func() time.Duration { return time.Since(w.began) }, Logger: &logger,
+	})
+	go n.loop.Run(ctx)
+	n.coordinator.Start(ctx)
+	w.nodes[name] = n
+}
+
+// historyWriter puts the nodes' logs into the history.
+type historyWriter struct{ world *world }
+
+func (h historyWriter) Write(line []byte) (int, error) {
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	h.world.note("%s", strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
+func (w *world) killNode(name string) {
+	w.mu.Lock()
+	n := w.nodes[name]
+	delete(w.nodes, name)
+	w.mu.Unlock()
+	if n != nil {
+		n.cancel()
+	}
+}
+
+// freeze stops a node's control for a time; what it has sent goes on.
+func (n *node) freeze(duration time.Duration) { n.loop.Post(func() { time.Sleep(duration) }) }
+
+func (n *node) publish(view *fleet.View) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.view = view
+}
+
+func (n *node) observe(string, string) (admission.Observation, bool) {
+	return admission.Observation{Slowness: 1}, true
+}
+
+// demand shows an even load with a hot set that moves.
+func (n *node) demand(_ string, now time.Time, use func(*keyspace.Load)) {
+	load := keyspace.NewLoad(now)
+	hot := int(now.Unix()/5) * 9973 % fleet.Keys
+	for key := 0; key < fleet.Keys; key += 16 {
+		load.Add(uint16(key), 0.001)
+		if key >= hot && key < hot+400 {
+			load.Add(uint16(key), 0.1)
+		}
+	}
+	use(load)
+}
+
+var names = observer.Names{
+	Config: "config/", Targets: "servers/", Evacuations: "evacuations/",
+	DecodeConfig: func(o store.Object) (*fleet.Config, error) {
+		config := &fleet.Config{}
+		err := json.Unmarshal(o.Value, config)
+		config.Index()
+		return config, err
+	},
+	DecodeTarget: func(o store.Object, _ time.Time) (*fleet.Target, error) {
+		target := &fleet.Target{}
+		return target, json.Unmarshal(o.Value, target)
+	},
+	DecodeEvacuation: func(o store.Object) string { return strings.TrimPrefix(o.Name, "evacuations/") },
+}
+
+// path reports whether messages get from one party to another.
+func (w *world) path(from, to string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.cut[from+">"+to]
+}
+
+// Send implements peer.ControlSender.
+func (n *node) Send(vm string, message *peerv1.Control) {
+	vm, _, _ = strings.Cut(vm, ":")
+	go func() {
+		time.Sleep(time.Duration(1+rand.IntN(3)) * time.Millisecond)
+		n.world.deliver(n, vm, message)
+	}()
+}
+
+func (w *world) deliver(from *node, to string, message *peerv1.Control) {
+	if !w.path(from.name, to) {
+		return
+	}
+	if message.ReplyTo != 0 {
+		w.mu.Lock()
+		answer := w.waiting[message.ReplyTo]
+		delete(w.waiting, message.ReplyTo)
+		w.mu.Unlock()
+		if answer != nil {
+			answer <- message
+		}
+		return
+	}
+	w.mu.Lock()
+	receiver := w.nodes[to]
+	w.mu.Unlock()
+	if receiver == nil {
+		return
+	}
+	sender := peer.Peer{VM: from.name, Incarnation: from.incarnation}
+	receiver.loop.Post(func() {
+		if reply, _ := receiver.coordinator.Handle(sender, message); reply != nil {
+			reply.ReplyTo = message.Call
+			receiver.Send(from.name, reply)
+		}
+	})
+}
+
+// Call implements peer.ControlSender.
+func (n *node) Call(ctx context.Context, vm string, message *peerv1.Control) (*peerv1.Control, error) {
+	name, _, _ := strings.Cut(vm, ":")
+	w := n.world
+	w.mu.Lock()
+	refused := w.nodes[name] == nil && !w.cut[n.name+">"+name] && !w.cut[name+">"+n.name]
+	w.calls++
+	message.Call = w.calls
+	answer := make(chan *peerv1.Control, 1)
+	w.waiting[message.Call] = answer
+	w.mu.Unlock()
+	if refused {
+		return nil, &peer.SendError{VM: vm, Cause: syscall.ECONNREFUSED}
+	}
+	n.Send(name, message)
+	select {
+	case reply := <-answer:
+		return reply, nil
+	case <-ctx.Done():
+		return nil, &peer.SendError{VM: vm, Sent: true, Cause: ctx.Err()}
+	}
+}
+
+// nodeStore is the store as one node reaches it.
+type nodeStore struct{ node *node }
+
+func (s nodeStore) reach(ctx context.Context) error {
+	time.Sleep(4 * time.Millisecond)
+	w := s.node.world
+	w.mu.Lock()
+	down := w.outage || w.cut[s.node.name+">store"]
+	w.mu.Unlock()
+	if down || ctx.Err() != nil {
+		return fault.New(fault.Unavailable, "try again", "no path to the store")
+	}
+	return nil
+}
+
+func (s nodeStore) Get(ctx context.Context, name string) (store.Object, error) {
+	if err := s.reach(ctx); err != nil {
+		return store.Object{}, err
+	}
+	return s.node.world.memory.Get(ctx, name)
+}
+
+// Put may lose its answer; the write takes effect at once or seconds later.
+func (s nodeStore) Put(ctx context.Context, name string, value []byte, expected int64) (int64, error) {
+	if err := s.reach(ctx); err != nil {
+		return 0, err
+	}
+	w := s.node.world
+	if w.chance(&w.loseAnswers) {
+		late := time.Duration(rand.IntN(3)) * time.Second
+		go func() {
+			time.Sleep(late)
+			_, _ = w.memory.Put(context.Background(), name, value, expected)
+		}()
+		return 0, fault.New(fault.UnknownOutcome, "read back", "no answer")
+	}
+	return w.memory.Put(ctx, name, value, expected)
+}
+
+func (s nodeStore) Delete(ctx context.Context, name string, expected int64) error {
+	if err := s.reach(ctx); err != nil {
+		return err
+	}
+	return s.node.world.memory.Delete(ctx, name, expected)
+}
+
+func (s nodeStore) List(ctx context.Context, prefix string) ([]store.Object, int64, error) {
+	if err := s.reach(ctx); err != nil {
+		return nil, 0, err
+	}
+	return s.node.world.memory.List(ctx, prefix)
+}
+
+// Watch fails when its time is over, as a poll does without events.
+func (s nodeStore) Watch(ctx context.Context, prefix string, after int64) ([]store.Object, int64, error) {
+	if err := s.reach(ctx); err != nil {
+		return nil, 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+	defer cancel()
+	objects, next, err := s.node.world.memory.Watch(ctx, prefix, after)
+	if down := s.reach(context.Background()); down != nil {
+		return nil, 0, down
+	}
+	return objects, next, err
+}
+
+// chance draws whether something that happens with a share happens now.
+func (w *world) chance(share *float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.Float64() < *share
+}
+
+// note adds a line to the history; the lock is held.
+func (w *world) note(format string, args ...any) {
+	w.history = append(w.history, time.Since(w.began).String()+" "+fmt.Sprintf(format, args...))
+}
+
+func (w *world) problem(format string, args ...any) {
+	w.problems = append(w.problems, time.Since(w.began).String()+" "+fmt.Sprintf(format, args...))
+}
+
+// run plays a world in a bubble.
+func run(t *testing.T, seed uint64, nodes, targets int, play func(*world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, seed, nodes, targets)
+		play(w)
+		w.mu.Lock()
+		all := make([]*node, 0, len(w.nodes))
+		for _, n := range w.nodes {
+			all = append(all, n)
+		}
+		w.mu.Unlock()
+		for _, n := range all {
+			n.cancel()
+		}
+		// Calls that are under way end by their own time-outs.
+		time.Sleep(15 * time.Second)
+		if len(w.problems) == 0 {
+			return
+		}
+		for _, line := range w.history {
+			t.Log(line)
+		}
+		for _, problem := range w.problems {
+			t.Errorf("seed %d: %s", seed, problem)
+		}
+	})
+}
--- a/internal/process/events/ownership.go
+++ b/internal/process/events/ownership.go
@@ -31,6 +31,7 @@
 	RecordUnreadable = register(4106, "record-unreadable", zerolog.WarnLevel, "This VM does not hear a leader and cannot read the record.")
 	MemberLost       = register(4107, "member-lost", zerolog.InfoLevel, "The leader has not heard a VM for some seconds and forgets it.")
 	StoreReach       = register(4108, "store-reach", zerolog.WarnLevel, "The leader has lost or regained the store.")
+	LeaderStalled    = register(4109, "leader-stalled", zerolog.WarnLevel, "The leader's process was stopped for a while; it sends no orders until it has heard anew that it leads.")
 	MovePlanned      = register(4110, "move-planned", zerolog.InfoLevel, "Keys are to move to another owner; the move is in the record.")
 	MovesNotWritten  = register(4111, "moves-not-written", zerolog.WarnLevel, "Moves could not be written into the record and did not begin.")
 	OrderDone        = register(4112, "order-done", zerolog.InfoLevel, "A target has answered a grant or a release, or failed to. Renewals without news are not logged.")
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/chestnutcourse/chestnutcourse/internal/process/loop"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/observer"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/permits"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/store"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/forward"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
@@ -71,7 +72,7 @@
 
 // Platform is what a gateway needs of the platform.
 type Platform struct {
-	Store      coordinator.Store
+	Store      store.Store
 	RecordName string
 	Names      observer.Names
 	Targets    coordinator.Targets
@@ -120,14 +121,16 @@
 }
 
 func (g *Gateway) build(platform Platform) {
+	broker := g.settings.Broker
+	broker.NotOwner = g.notOwner
 	g.desk = permits.New(permits.Config{
-		Self: g.self.VM, Broker: g.settings.Broker, Sender: g.transport, View: g.view.Load, Hears: g.hears,
+		Self: g.self.VM, Broker: broker, Sender: g.transport, View: g.view.Load, Hears: g.hears,
 	})
 	g.coordinator = coordinator.New(coordinator.Config{
 		Self: g.self, FailureDomain: g.settings.FailureDomain, Processor: g.settings.Processor,
 		RecordName: platform.RecordName, Names: platform.Names, Loop: g.loop, Store: platform.Store,
 		Sender: g.transport, Targets: platform.Targets, LongestHold: g.settings.LongestHold,
-		Publish: g.publish, Observe: g.desk.Observe, Demand: g.desk.Demand, Logger: &g.logger,
+		Publish: g.publish, Observe: g.desk.Observe, Demand: g.desk.Demand, Uptime: uptime, Logger: &g.logger,
 	})
 	g.pools = forward.NewPools(target.Form{
 		RequestIDHeader: platform.Dialect.RequestIDHeader(), Unframed: true, SkipStray: true,
@@ -135,7 +138,7 @@
 	})
 	g.handler = forward.New(forward.Config{
 		Domain: g.settings.FailureDomain, Dialect: platform.Dialect, Permits: g.desk, View: g.view.Load,
-		Pools: g.pools, Leaving: g.leaving.Load, NotOwner: g.notOwner, Logger: g.logger, Metrics: g.metrics.Scope,
+		Pools: g.pools, Leaving: g.leaving.Load, Logger: g.logger, Metrics: g.metrics.Scope,
 	})
 	g.callers = &caller.Server{Handler: g.handler, Limits: g.callerLimits}
 }
@@ -173,8 +176,8 @@
 	g.pools.Update(view)
 }
 
-func (g *Gateway) notOwner(life fleet.Life) {
-	g.loop.Post(func() { g.coordinator.NotOwner(life) })
+func (g *Gateway) notOwner(service string, key uint16, life fleet.Life) {
+	g.loop.Post(func() { g.coordinator.NotOwner(service, key, life) })
 }
 
 // handleControl passes a message of a peer on. Permits are served at once,
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -132,6 +132,8 @@
 	// Cautious brokers know only their own requests: they send nothing to cold
 	// targets and repeat nothing.
 	Cautious bool
+	// NotOwner, if set, is told of targets that refused a key as not theirs.
+	NotOwner func(service string, key uint16, target fleet.Life)
 	// Decide receives every decision, from inside the calls of the broker.
 	Decide func(Decision)
 }
--- a/internal/request/admission/pool.go
+++ b/internal/request/admission/pool.go
@@ -434,6 +434,10 @@
 			p.work[class] += classWeight * (end.Took.Seconds()/t.relativeTime(now) - work)
 			t.learn(end.Took, work, now)
 		}
+	case NotOwner:
+		if p.broker.config.NotOwner != nil {
+			p.broker.config.NotOwner(p.name, running.request.Key, t.Life)
+		}
 	case NotRun, Failed, Broken:
 		t.count(true, now)
 	case Timeout:
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -150,7 +150,6 @@
 	result := admission.NotRun
 	if got.Status == http.StatusMisdirectedRequest {
 		result = admission.NotOwner
-		x.handler.config.NotOwner(permit.Target)
 	}
 	load, hasLoad := x.handler.config.Dialect.Load(got.Header)
 	x.handler.config.Permits.End(permit, result, took, load, hasLoad)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -67,10 +67,8 @@
 	Pools   *Pools
 	// Leaving reports whether this VM is stopping.
 	Leaving func() bool
-	// NotOwner is told of targets that refused a key as not theirs.
-	NotOwner func(fleet.Life)
-	Logger   zerolog.Logger
-	Metrics  tally.Scope
+	Logger  zerolog.Logger
+	Metrics tally.Scope
 }
 
 // Handler serves callers. It implements http.Handler.
