Test callers' connections, forwarding and permits; send a broken small answer's request again

Cause: an idempotent request whose answer broke off midway was answered 502 although another target could run it (TestFailuresOfTheTarget/short/safe failed).

Change: small answers are read to their end within the attempt. Tests play every way in which a target fails against callers' promises.

--- /dev/null
+++ b/internal/connection/caller/caller_test.go
@@ -0,0 +1,275 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/caller"
+)
+
+// bound is how long anything in these tests may take.
+const bound = 5 * time.Second
+
+type fixture struct {
+	server  *caller.Server
+	address string
+}
+
+func start(t *testing.T, handler http.HandlerFunc) *fixture {
+	return startWith(t, handler, caller.Limits{HeaderBytes: 8 << 10, HeaderTimeout: bound, IdleTimeout: bound})
+}
+
+func startWith(t *testing.T, handler http.HandlerFunc, limits caller.Limits) *fixture {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f := &fixture{server: &caller.Server{Handler: handler, Limits: func() caller.Limits { return limits }}, address: listener.Addr().String()}
+	go func() { _ = f.server.Serve(listener) }()
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *fixture) dial(t *testing.T) (net.Conn, *bufio.Reader) {
+	conn, err := net.Dial("tcp", f.address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(bound))
+	return conn, bufio.NewReader(conn)
+}
+
+func send(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	_, err := io.WriteString(conn, strings.ReplaceAll(text, "\n", "\r\n"))
+	assert.NilError(t, err)
+}
+
+func receive(t *testing.T, reader *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return response, string(body)
+}
+
+// TestPipelinedRequestsRunSideBySide and are answered in order.
+func TestPipelinedRequestsRunSideBySide(t *testing.T) {
+	last := make(chan struct{})
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/3" {
+			close(last)
+		} else {
+			// Only a request behind this one ends the wait.
+			<-last
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	conn, reader := f.dial(t)
+	for i := range 4 {
+		send(t, conn, fmt.Sprintf("GET /%d HTTP/1.1\nHost: h\n\n", i))
+	}
+	for i := range 4 {
+		_, body := receive(t, reader)
+		assert.Equal(t, body, fmt.Sprintf("/%d", i))
+	}
+}
+
+// TestUnsafeRequestsWaitForThoseBefore them on their connection.
+func TestUnsafeRequestsWaitForThoseBefore(t *testing.T) {
+	var running, most atomic.Int32
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if now := running.Add(1); now > most.Load() {
+			most.Store(now)
+		}
+		time.Sleep(20 * time.Millisecond)
+		running.Add(-1)
+	})
+	conn, reader := f.dial(t)
+	for range 3 {
+		send(t, conn, "POST / HTTP/1.1\nHost: h\nContent-Length: 2\n\nab")
+	}
+	for range 3 {
+		receive(t, reader)
+	}
+	assert.Equal(t, most.Load(), int32(1))
+}
+
+// TestCloseCancelsEverything that a caller asked for, also what waits behind
+// other requests.
+func TestCloseCancelsEverything(t *testing.T) {
+	canceled := make(chan struct{}, 2)
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+			canceled <- struct{}{}
+		case <-time.After(bound):
+		}
+		panic(http.ErrAbortHandler)
+	})
+	conn, _ := f.dial(t)
+	send(t, conn, "GET /1 HTTP/1.1\nHost: h\n\nGET /2 HTTP/1.1\nHost: h\n\n")
+	time.Sleep(50 * time.Millisecond)
+	_ = conn.Close()
+	for range 2 {
+		select {
+		case <-canceled:
+		case <-time.After(500 * time.Millisecond):
+			t.Fatal("a request was not cancelled within half a second of the close")
+		}
+	}
+}
+
+// TestBodies of all forms reach the handler and the caller whole.
+func TestBodies(t *testing.T) {
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if r.URL.Path == "/length" {
+			w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		}
+		_, _ = w.Write(body)
+	})
+	conn, reader := f.dial(t)
+	send(t, conn, "POST /length HTTP/1.1\nHost: h\nContent-Length: 3\n\nabc")
+	response, body := receive(t, reader)
+	assert.Equal(t, body, "abc")
+	assert.Equal(t, response.ContentLength, int64(3))
+	send(t, conn, "POST /chunks HTTP/1.1\nHost: h\nTransfer-Encoding: chunked\n\n2\nab\n3\ncde\n0\n\n")
+	response, body = receive(t, reader)
+	assert.Equal(t, body, "abcde")
+	assert.Equal(t, response.ContentLength, int64(-1))
+	send(t, conn, "POST /expect HTTP/1.1\nHost: h\nExpect: 100-continue\nContent-Length: 1\n\n")
+	early, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, early.StatusCode, http.StatusContinue)
+	send(t, conn, "x")
+	_, body = receive(t, reader)
+	assert.Equal(t, body, "x")
+}
+
+// TestUnreadBodyDoesNotSpoilTheNextRequest: a refused upload leaves the
+// connection usable.
+func TestUnreadBodyDoesNotSpoilTheNextRequest(t *testing.T) {
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	conn, reader := f.dial(t)
+	send(t, conn, "POST /1 HTTP/1.1\nHost: h\nContent-Length: 28\n\nGET /smuggled HTTP/1.1\nabcdGET /2 HTTP/1.1\nHost: h\n\n")
+	_, body := receive(t, reader)
+	assert.Equal(t, body, "/1")
+	_, body = receive(t, reader)
+	assert.Equal(t, body, "/2")
+}
+
+// TestBrokenAnswerEndsTheConnection: an answer shorter than announced, or
+// aborted, never looks complete.
+func TestBrokenAnswerEndsTheConnection(t *testing.T) {
+	for _, path := range []string{"/short", "/aborted", "/chunks"} {
+		f := start(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/chunks" {
+				w.Header().Set("Content-Length", "10")
+			}
+			_, _ = io.WriteString(w, "abc")
+			_ = http.NewResponseController(w).Flush()
+			if r.URL.Path != "/short" {
+				panic(http.ErrAbortHandler)
+			}
+		})
+		conn, reader := f.dial(t)
+		send(t, conn, "GET "+path+" HTTP/1.1\nHost: h\n\n")
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		_, err = io.ReadAll(response.Body)
+		assert.Assert(t, err != nil, path)
+	}
+}
+
+// TestLimits of a head, the time for it, and idle connections.
+func TestLimits(t *testing.T) {
+	f := startWith(t, func(http.ResponseWriter, *http.Request) {}, caller.Limits{
+		HeaderBytes: 1 << 10, HeaderTimeout: 100 * time.Millisecond, IdleTimeout: 200 * time.Millisecond,
+	})
+	conn, reader := f.dial(t)
+	send(t, conn, "GET / HTTP/1.1\nHost: h\nX: "+strings.Repeat("x", 16<<10)+"\n\n")
+	response, _ := receive(t, reader)
+	assert.Equal(t, response.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+
+	conn, reader = f.dial(t)
+	send(t, conn, "GET / HTT")
+	_, err := reader.ReadByte()
+	assert.Assert(t, err != nil, "a head that does not end is cut off")
+
+	conn, reader = f.dial(t)
+	began := time.Now()
+	_, err = reader.ReadByte()
+	assert.Assert(t, err != nil && time.Since(began) > 150*time.Millisecond, "%v", err)
+
+	conn, reader = f.dial(t)
+	send(t, conn, "nonsense\n\n")
+	response, _ = receive(t, reader)
+	assert.Equal(t, response.StatusCode, http.StatusBadRequest)
+	conn, reader = f.dial(t)
+	send(t, conn, "GET / HTTP/1.1\n\n")
+	response, _ = receive(t, reader)
+	assert.Equal(t, response.StatusCode, http.StatusBadRequest)
+}
+
+// TestShutdownAnswersWhatWasRead: requests that have been read get their
+// answers, idle connections end, new ones are refused.
+func TestShutdownAnswersWhatWasRead(t *testing.T) {
+	entered := make(chan struct{}, 2)
+	release := make(chan struct{})
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		entered <- struct{}{}
+		<-release
+		_, _ = io.WriteString(w, "done")
+	})
+	busy, busyReader := f.dial(t)
+	idle, idleReader := f.dial(t)
+	send(t, busy, "GET /1 HTTP/1.1\nHost: h\n\nGET /2 HTTP/1.1\nHost: h\n\n")
+	<-entered
+	<-entered
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), bound)
+		defer cancel()
+		stopped <- f.server.Shutdown(ctx)
+	}()
+	_, err := idleReader.ReadByte()
+	assert.Equal(t, err, io.EOF)
+	_ = idle.Close()
+	close(release)
+	first, body := receive(t, busyReader)
+	assert.Equal(t, body, "done")
+	assert.Assert(t, !first.Close, "another request was read behind this one")
+	_, body = receive(t, busyReader)
+	assert.Equal(t, body, "done")
+	_, err = busyReader.ReadByte()
+	assert.Equal(t, err, io.EOF)
+	assert.NilError(t, <-stopped)
+	_, err = net.DialTimeout("tcp", f.address, time.Second)
+	assert.Assert(t, err != nil)
+}
+
+// TestAnnouncedCloseIsKept: nothing follows an answer that announces the end.
+func TestAnnouncedCloseIsKept(t *testing.T) {
+	f := start(t, func(w http.ResponseWriter, r *http.Request) { w.Header().Set("Connection", "close") })
+	conn, reader := f.dial(t)
+	send(t, conn, "GET /1 HTTP/1.1\nHost: h\n\n")
+	response, _ := receive(t, reader)
+	assert.Assert(t, response.Close)
+	_, err := reader.ReadByte()
+	assert.Equal(t, err, io.EOF)
+}
--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -110,6 +110,9 @@
 	request, err := http.ReadRequest(c.reader)
 	c.source.unlimited()
 	_ = c.socket.SetReadDeadline(time.Time{})
+	if err != nil && c.source.err != nil {
+		err = c.source.err
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/connection/caller/request.go
+++ b/internal/connection/caller/request.go
@@ -15,6 +15,8 @@
 	source  io.Reader
 	limited bool
 	left    int
+	// err is what the last read returned; the parser of heads hides it.
+	err error
 }
 
 var errHeadTooLarge = errors.New("the head of the request is too large")
@@ -25,14 +27,16 @@
 
 // Read implements io.Reader.
 func (l *headLimiter) Read(p []byte) (int, error) {
-	if !l.limited {
-		return l.source.Read(p)
+	if l.limited && l.left <= 0 {
+		l.err = errHeadTooLarge
+		return 0, l.err
 	}
-	if l.left <= 0 {
-		return 0, errHeadTooLarge
+	if l.limited {
+		p = p[:min(len(p), l.left)]
 	}
-	n, err := l.source.Read(p[:min(len(p), l.left)])
+	n, err := l.source.Read(p)
 	l.left -= n
+	l.err = err
 	return n, err
 }
 
--- /dev/null
+++ b/internal/process/permits/desk_test.go
@@ -0,0 +1,157 @@
+package permits_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/permits"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+// network connects the desks of some VMs.
+type network struct {
+	mu    sync.Mutex
+	desks map[string]*permits.Desk
+	// cut holds the VMs without a path.
+	cut map[string]bool
+}
+
+type sender struct {
+	network *network
+	vm      string
+}
+
+func (s sender) Send(vm string, message *peerv1.Control) {
+	go func() {
+		time.Sleep(2 * time.Millisecond)
+		s.network.mu.Lock()
+		desk, cut := s.network.desks[vm], s.network.cut[vm] || s.network.cut[s.vm]
+		s.network.mu.Unlock()
+		if desk != nil && !cut {
+			desk.Handle(peer.Peer{VM: s.vm}, message)
+		}
+	}()
+}
+
+func (s sender) Call(context.Context, string, *peerv1.Control) (*peerv1.Control, error) {
+	panic("desks make no calls")
+}
+
+func view() *fleet.View {
+	config := &fleet.Config{Version: 1, Services: []fleet.Service{{Name: "s"}}}
+	config.Index()
+	return &fleet.View{
+		Config: config, Brokers: map[string]string{"s": "broker"},
+		Targets: map[string]*fleet.Target{
+			"t0": {Life: fleet.Life{ID: "t0", Born: 1}, Service: "s", Slots: 1},
+		},
+	}
+}
+
+func newNetwork(vms ...string) *network {
+	n := &network{desks: map[string]*permits.Desk{}, cut: map[string]bool{}}
+	shared := view()
+	for _, vm := range vms {
+		n.desks[vm] = permits.New(permits.Config{
+			Self: vm, Sender: sender{n, vm}, View: func() *fleet.View { return shared },
+			Broker: admission.Config{Budget: admission.Budget{Ratio: 0.2, Allowance: 10}, ColdFactor: 1.5},
+			Hears: func(string) bool {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				return !n.cut["broker"]
+			},
+		})
+		n.desks[vm].Update(shared)
+	}
+	return n
+}
+
+func request() admission.Request {
+	now := time.Now()
+	return admission.Request{Service: "s", Class: "c", Aim: now.Add(200 * time.Millisecond), Deadline: now.Add(500 * time.Millisecond)}
+}
+
+// TestOneSlotIsSharedByAllVMs: the second VM waits until the first is done.
+func TestOneSlotIsSharedByAllVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork("broker", "a", "b")
+		first, err := n.desks["a"].Acquire(t.Context(), request())
+		assert.NilError(t, err)
+		assert.Equal(t, first.Target.ID, "t0")
+		assert.Equal(t, first.Broker, "broker")
+		time.AfterFunc(100*time.Millisecond, func() {
+			n.desks["a"].End(first, admission.Answered, 100*time.Millisecond, fleet.Load{}, false)
+		})
+		began := time.Now()
+		second, err := n.desks["b"].Acquire(t.Context(), request())
+		assert.NilError(t, err)
+		assert.Equal(t, second.Target.ID, "t0")
+		assert.Assert(t, time.Since(began) >= 100*time.Millisecond, "%s", time.Since(began))
+		n.desks["b"].End(second, admission.Answered, time.Millisecond, fleet.Load{}, false)
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// TestSilentBrokerIsReplacedByOwnDecisions within a fraction of the aim.
+func TestSilentBrokerIsReplacedByOwnDecisions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork("broker", "a")
+		n.cut["broker"] = true
+		began := time.Now()
+		permit, err := n.desks["a"].Acquire(t.Context(), request())
+		assert.NilError(t, err)
+		assert.Equal(t, permit.Broker, "")
+		assert.Equal(t, permit.Target.ID, "t0")
+		assert.Assert(t, time.Since(began) < 100*time.Millisecond)
+		n.desks["a"].End(permit, admission.Answered, time.Millisecond, fleet.Load{}, false)
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// TestBrokerLostWhileARequestWaits: the request goes on without it.
+func TestBrokerLostWhileARequestWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork("broker", "a", "b")
+		_, err := n.desks["b"].Acquire(t.Context(), request())
+		assert.NilError(t, err)
+		time.AfterFunc(80*time.Millisecond, func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.cut["broker"] = true
+		})
+		permit, err := n.desks["a"].Acquire(t.Context(), request())
+		assert.NilError(t, err)
+		assert.Equal(t, permit.Broker, "")
+		n.desks["a"].End(permit, admission.Answered, time.Millisecond, fleet.Load{}, false)
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// TestCallerThatLeavesGivesItsPlaceUp.
+func TestCallerThatLeavesGivesItsPlaceUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork("broker", "a", "b")
+		first, err := n.desks["a"].Acquire(t.Context(), request())
+		assert.NilError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err = n.desks["b"].Acquire(ctx, request())
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		time.Sleep(10 * time.Millisecond)
+		n.desks["a"].End(first, admission.Answered, time.Millisecond, fleet.Load{}, false)
+		time.Sleep(10 * time.Millisecond)
+		third, err := n.desks["b"].Acquire(t.Context(), request())
+		assert.NilError(t, err)
+		assert.Equal(t, third.Target.ID, "t0")
+		n.desks["b"].End(third, admission.Answered, time.Millisecond, fleet.Load{}, false)
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -18,13 +18,17 @@
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
-// answer is a target's answer whose body is yet to be read.
+// answer is a target's answer. A small one has been read to its end, so that one
+// that breaks off can be replaced.
 type answer struct {
 	*target.Answer
 	cancel  context.CancelFunc
 	took    time.Duration
 	load    fleet.Load
 	hasLoad bool
+	// head is the beginning of the body; complete is set if it is all of it.
+	head     []byte
+	complete bool
 }
 
 // singleHop are the headers that concern one connection only.
@@ -65,28 +69,18 @@
 	return request.WithContext(ctx)
 }
 
-// deliver passes the answer on. A small answer is read to its end first, so
-// that one that breaks off can be replaced.
+// deliver passes the answer on.
 func (x *exchange) deliver(permit permits.Permit, a *answer) {
 	defer a.cancel()
-	head, err := readUpTo(a.Body, keptBody)
-	complete := errors.Is(err, io.EOF)
-	if err != nil && !complete {
-		_ = a.Body.Close()
-		x.end(permit, a, admission.Broken)
-		x.log(events.AttemptFailed).Str("broker", permit.Broker).Uint8("result", uint8(admission.Broken)).Bool("may_have_run", true).Err(err).Send()
-		x.broken(outcome{result: admission.Broken})
-		return
-	}
-	if complete {
+	if a.complete {
 		x.end(permit, a, x.result(a))
 	}
-	x.writeHead(a, head, complete)
-	if _, err := x.w.Write(head); err != nil {
-		x.callerLost(permit, a, complete)
+	x.writeHead(a)
+	if _, err := x.w.Write(a.head); err != nil {
+		x.callerLost(permit, a)
 		return
 	}
-	if !complete {
+	if !a.complete {
 		x.stream(permit, a)
 	}
 	x.delivered(a)
@@ -105,7 +99,7 @@
 }
 
 // writeHead writes status and headers as the target gave them.
-func (x *exchange) writeHead(a *answer, head []byte, complete bool) {
+func (x *exchange) writeHead(a *answer) {
 	header := x.w.Header()
 	closing := header.Get("Connection")
 	copyHeaders(header, a.Header)
@@ -113,8 +107,8 @@
 		header.Set("Connection", closing)
 	}
 	switch {
-	case complete && x.r.Method != http.MethodHead && bodyAllowed(a.Status):
-		header.Set("Content-Length", strconv.Itoa(len(head)))
+	case a.complete && x.r.Method != http.MethodHead && bodyAllowed(a.Status):
+		header.Set("Content-Length", strconv.Itoa(len(a.head)))
 	case a.ContentLength >= 0:
 		header.Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
 	}
@@ -137,7 +131,7 @@
 		n, err := a.Body.Read(buffer)
 		if n > 0 {
 			if _, writeErr := x.w.Write(buffer[:n]); writeErr != nil {
-				x.callerLost(permit, a, false)
+				x.callerLost(permit, a)
 				return
 			}
 			_ = controller.Flush()
@@ -157,9 +151,9 @@
 }
 
 // callerLost ends an exchange whose caller does not take the answer.
-func (x *exchange) callerLost(permit permits.Permit, a *answer, ended bool) {
+func (x *exchange) callerLost(permit permits.Permit, a *answer) {
 	_ = a.Body.Close()
-	if !ended {
+	if !a.complete {
 		x.end(permit, a, admission.Canceled)
 	}
 	x.left()
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -134,7 +134,15 @@
 		cancel()
 		return x.notRun(permit, got, took)
 	}
-	return outcome{answer: &answer{Answer: got, cancel: cancel, took: took, load: load, hasLoad: hasLoad}}
+	head, err := readUpTo(got.Body, keptBody)
+	if err != nil && !errors.Is(err, io.EOF) {
+		_ = got.Body.Close()
+		cancel()
+		return x.lost(permit, outcome{result: admission.Broken, mayHaveRun: true, arrived: true, cause: err}, took)
+	}
+	return outcome{answer: &answer{
+		Answer: got, cancel: cancel, took: took, load: load, hasLoad: hasLoad, head: head, complete: err != nil,
+	}}
 }
 
 var errStalePermit = errors.New("the target of the permit takes no requests any more")
--- /dev/null
+++ b/internal/request/forward/forward_test.go
@@ -0,0 +1,290 @@
+package forward_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/caller"
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/permits"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/forward"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/fencetarget"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+	"github.com/chestnutcourse/chestnutcourse/platform"
+)
+
+// fixture is a handler in front of some targets, with permits given in turn.
+type fixture struct {
+	address string
+	targets []*fencetarget.Target
+	view    *fleet.View
+
+	mu      sync.Mutex
+	next    int
+	refuse  admission.Reason
+	results []admission.Result
+}
+
+// Acquire implements forward.Permits: targets in turn, without those excluded.
+func (f *fixture) Acquire(_ context.Context, r admission.Request) (permits.Permit, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refuse != "" {
+		return permits.Permit{Decision: admission.Decision{Refused: f.refuse, RetryAfter: 250 * time.Millisecond}}, nil
+	}
+	if len(r.Exclude) == len(f.targets) {
+		return permits.Permit{Decision: admission.Decision{Refused: admission.NoTarget}}, nil
+	}
+	id := f.targets[f.next%len(f.targets)].ID
+	f.next++
+	return permits.Permit{Decision: admission.Decision{Target: fleet.Life{ID: id, Born: 1}}}, nil
+}
+
+// End implements forward.Permits.
+func (f *fixture) End(_ permits.Permit, result admission.Result, _ time.Duration, _ fleet.Load, _ bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.results = append(f.results, result)
+}
+
+func (f *fixture) ended() []admission.Result {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]admission.Result(nil), f.results...)
+}
+
+// faults names the fault of each target in turn.
+func start(t *testing.T, faults ...string) *fixture {
+	f := &fixture{view: &fleet.View{Targets: map[string]*fleet.Target{}}}
+	f.view.Config = &fleet.Config{
+		Version: 1, Limits: fleet.Limits{BodyBytes: 1 << 20, HeaderBytes: 8 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second},
+		Services: []fleet.Service{{Name: "s"}},
+	}
+	for prefix, kind := range map[string]fleet.RequestKind{"/safe/": fleet.Idempotent, "/once/": fleet.AtMostOnce, "/upload/": fleet.Upload} {
+		f.view.Config.Routes = append(f.view.Config.Routes, fleet.Route{
+			Name: prefix, Host: "h.example", Prefix: prefix, Kind: kind, Aim: 200 * time.Millisecond, Timeout: time.Second,
+			MaxAttempts: 2, Shares: []fleet.Share{{Service: "s", Weight: 1}},
+		})
+	}
+	f.view.Config.Index()
+	for i, fault := range faults {
+		f.addTarget(t, fmt.Sprintf("t%d", i), fault)
+	}
+	handler := forward.New(forward.Config{
+		Domain: "a", Dialect: platform.Dialect{}, Permits: f, View: func() *fleet.View { return f.view },
+		Pools: forward.NewPools(target.Form{
+			RequestIDHeader: "Attempt-Id", Unframed: true, SkipStray: true, DialTimeout: 500 * time.Millisecond, MaxIdle: time.Second,
+		}),
+		Leaving: func() bool { return false }, Logger: zerolog.Nop(),
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &caller.Server{Handler: handler, Limits: func() caller.Limits {
+		return caller.Limits{HeaderBytes: 8 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+	}}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Close)
+	f.address = listener.Addr().String()
+	return f
+}
+
+func (f *fixture) addTarget(t *testing.T, id, fault string) {
+	server := fencetarget.New(fencetarget.Settings{ID: id, Work: 5 * time.Millisecond, Fault: func(*http.Request) string { return fault }})
+	listener := httptest.NewServer(server)
+	t.Cleanup(listener.Close)
+	t.Cleanup(listener.CloseClientConnections)
+	f.targets = append(f.targets, server)
+	address := strings.TrimPrefix(listener.URL, "http://")
+	if fault == "gone" {
+		listener.Close()
+	}
+	f.view.Targets[id] = &fleet.Target{
+		Life: fleet.Life{ID: id, Born: 1}, Service: "s", Address: address, FailureDomain: "a", Slots: 2,
+	}
+}
+
+type got struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+func (f *fixture) send(t *testing.T, method, path, attempt, body string) got {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+f.address+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Host = "h.example"
+	request.Header.Set("Attempt-Id", attempt)
+	request.Header.Set("Request-Deadline", "800")
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	if err != nil {
+		return got{err: err}
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return got{response.StatusCode, string(content), response.Header, err}
+}
+
+func (f *fixture) runs() (all []fencetarget.Run) {
+	for _, server := range f.targets {
+		all = append(all, server.Runs()...)
+	}
+	return all
+}
+
+// TestAnswerIsPassedOn unchanged, and the request too.
+func TestAnswerIsPassedOn(t *testing.T) {
+	f := start(t, "")
+	answer := f.send(t, "POST", "/once/x?y=%20z", "a1", "body")
+	assert.NilError(t, answer.err)
+	assert.Equal(t, answer.status, http.StatusOK)
+	assert.Equal(t, answer.body, fencetarget.Body("t0", "a1"))
+	assert.Equal(t, answer.header.Get("Server-Seal"), fencetarget.Seal("a1"))
+	runs := f.runs()
+	assert.Equal(t, len(runs), 1)
+	assert.Equal(t, runs[0].Path, "/once/x?y=%20z")
+	assert.Equal(t, runs[0].Body, "body")
+	assert.DeepEqual(t, f.ended(), []admission.Result{admission.Answered})
+}
+
+// TestFailuresOfTheTarget: what a caller gets, and how often the request runs,
+// for every way in which the first target fails; the second one is sound.
+func TestFailuresOfTheTarget(t *testing.T) {
+	for _, c := range []struct {
+		fault, path string
+		status      int
+		// by is the target whose answer the caller gets; "" for none.
+		by   string
+		runs int
+	}{
+		{"refuse", "/once/", 200, "t1", 1},
+		{"refuse", "/upload/", 200, "t1", 1},
+		{"refuse", "/safe/", 200, "t1", 1},
+		{"gone", "/once/", 200, "t1", 1},
+		{"reset", "/once/", 502, "", 1},
+		{"reset", "/upload/", 502, "", 1},
+		{"reset", "/safe/", 200, "t1", 2},
+		{"short", "/once/", 502, "", 1},
+		{"short", "/safe/", 200, "t1", 2},
+		{"extra", "/once/", 200, "t0", 1},
+		{"crossed", "/once/", 200, "t0", 1},
+		{"unframed", "/once/", 200, "t0", 1},
+		{"unframed-reset", "/once/", 502, "", 1},
+		{"silent", "/once/", 504, "", 1},
+		{"fail", "/once/", 500, "", 1},
+	} {
+		t.Run(c.fault+c.path, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, c.fault, "")
+			answer := f.send(t, "POST", c.path, "a1", strings.Repeat("b", 3000))
+			assert.NilError(t, answer.err)
+			assert.Equal(t, answer.status, c.status)
+			if c.by != "" {
+				assert.Equal(t, answer.body, fencetarget.Body(c.by, "a1"))
+				assert.Equal(t, answer.header.Get("Server-Seal"), fencetarget.Seal("a1"))
+			}
+			if c.status == 502 || c.status == 504 {
+				assert.Equal(t, answer.header.Get("Server-Seal"), "")
+			}
+			assert.Equal(t, len(f.runs()), c.runs)
+			for _, run := range f.runs() {
+				assert.Equal(t, len(run.Body), 3000, "the whole body is sent again")
+			}
+		})
+	}
+}
+
+// TestRefusalSaysWhenToComeBack and the request has not run.
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	f := start(t, "")
+	f.refuse = admission.WouldBeLate
+	answer := f.send(t, "GET", "/safe/", "a1", "")
+	assert.Equal(t, answer.status, http.StatusServiceUnavailable)
+	assert.Equal(t, answer.header.Get("Retry-After"), "0.250")
+	assert.Equal(t, len(f.runs()), 0)
+}
+
+// TestWithoutConfigurationNothingIsDenied: a VM that knows no configuration
+// answers 503, not 404.
+func TestWithoutConfigurationNothingIsDenied(t *testing.T) {
+	f := start(t, "")
+	config := f.view.Config
+	assert.Equal(t, f.send(t, "GET", "/unknown/", "a1", "").status, http.StatusNotFound)
+	view := *f.view
+	view.Config = nil
+	f.view = &view
+	assert.Equal(t, f.send(t, "GET", "/safe/", "a2", "").status, http.StatusServiceUnavailable)
+	_ = config
+}
+
+// TestStalePermitIsNotUsed: a permit for a target that leaves meanwhile, or for
+// another life of it, is given back.
+func TestStalePermitIsNotUsed(t *testing.T) {
+	f := start(t, "", "")
+	f.view.Targets["t0"].Leaving = true
+	answer := f.send(t, "POST", "/once/", "a1", "x")
+	assert.Equal(t, answer.body, fencetarget.Body("t1", "a1"))
+	assert.Equal(t, len(f.targets[0].Runs()), 0)
+	f.view.Targets["t0"].Leaving = false
+	f.view.Targets["t0"].Born = 2
+	answer = f.send(t, "POST", "/once/", "a2", "x")
+	assert.Equal(t, answer.body, fencetarget.Body("t1", "a2"))
+}
+
+// TestCallerThatLeavesCancels the work at the target within half a second.
+func TestCallerThatLeavesCancels(t *testing.T) {
+	f := start(t)
+	canceled := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(canceled)
+	}))
+	t.Cleanup(server.Close)
+	f.targets = append(f.targets, fencetarget.New(fencetarget.Settings{ID: "t0"}))
+	f.view.Targets["t0"] = &fleet.Target{
+		Life: fleet.Life{ID: "t0", Born: 1}, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 1,
+	}
+	conn, err := net.Dial("tcp", f.address)
+	assert.NilError(t, err)
+	_, err = io.WriteString(conn, "GET /safe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n\r\n")
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	assert.NilError(t, conn.Close())
+	select {
+	case <-canceled:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the target was still at work half a second after the caller had left")
+	}
+}
+
+// TestLargeAnswerIsStreamed and arrives whole.
+func TestLargeAnswerIsStreamed(t *testing.T) {
+	f := start(t)
+	content := bytes.Repeat([]byte("0123456789"), 100_000)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		_, _ = w.Write(content)
+	}))
+	t.Cleanup(server.Close)
+	f.targets = append(f.targets, fencetarget.New(fencetarget.Settings{ID: "t0"}))
+	f.view.Targets["t0"] = &fleet.Target{
+		Life: fleet.Life{ID: "t0", Born: 1}, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 1,
+	}
+	answer := f.send(t, "GET", "/safe/", "a1", "")
+	assert.NilError(t, answer.err)
+	assert.Equal(t, answer.body, string(content))
+}
--- /dev/null
+++ b/internal/testutil/fencetarget/fencetarget.go
@@ -0,0 +1,236 @@
+// Package fencetarget is a stand-in for the users' servers in tests: it runs
+// requests for keys that it holds, checks fences, lets grants run out, and fails
+// in the ways in which those servers do.
+package fencetarget
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Settings say how a target behaves; the zero value serves at once.
+type Settings struct {
+	ID string
+	// Keyed targets run requests for keys that they hold only.
+	Keyed bool
+	// Slots is the number of requests that run at once; 0 means no limit.
+	Slots int
+	// Work is how long a request takes.
+	Work time.Duration
+	// Fault spoils the answers that it returns a word for: "reset", "short",
+	// "extra", "crossed", "unframed", "unframed-reset", "refuse", "fail",
+	// "silent" or "early".
+	Fault func(r *http.Request) string
+}
+
+// Run is one request that a target began to work on.
+type Run struct {
+	Attempt, Method, Path, Body string
+	Key                         int
+	At                          time.Time
+}
+
+// Target is a target; it is an http.Handler.
+type Target struct {
+	Settings
+	mu      sync.Mutex
+	running int
+	runs    []Run
+	grants  []grant
+}
+
+type grant struct {
+	first, last int
+	fence       uint64
+	until       time.Time
+}
+
+// New returns a target.
+func New(settings Settings) *Target { return &Target{Settings: settings} }
+
+// Runs returns the requests that the target began to work on.
+func (t *Target) Runs() []Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Run(nil), t.runs...)
+}
+
+// Holds reports whether the target holds a key now.
+func (t *Target) Holds(key int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.holds(key)
+}
+
+func (t *Target) holds(key int) bool {
+	held := false
+	for _, g := range t.grants {
+		if g.first <= key && key <= g.last {
+			held = time.Now().Before(g.until)
+		}
+	}
+	return held
+}
+
+// ServeHTTP implements http.Handler.
+func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/grant", "/release":
+		t.order(w, r)
+	case "/health":
+		w.Header().Set("Instance-Id", t.ID)
+	default:
+		t.serve(w, r)
+	}
+}
+
+type orderBody struct {
+	StartKey int    `json:"startKey"`
+	Target   int    `json:"target"`
+	Fence    uint64 `json:"fence"`
+	HoldTime string `json:"hold_time"`
+}
+
+func (t *Target) order(w http.ResponseWriter, r *http.Request) {
+	var body orderBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.URL.Path == "/release" {
+		t.grants = append(t.grants, grant{body.StartKey, body.Target, body.Fence, time.Time{}})
+		w.Header().Set("Duty-Handover", "handover-"+t.ID)
+		return
+	}
+	hold, err := time.ParseDuration(body.HoldTime)
+	if err != nil || hold > 10*time.Second {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	for _, g := range t.grants {
+		if g.first <= body.Target && body.StartKey <= g.last && g.fence > body.Fence {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+	}
+	t.grants = append(t.grants, grant{body.StartKey, body.Target, body.Fence, time.Now().Add(hold)})
+}
+
+func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != t.ID {
+		t.refuse(w, r, http.StatusMisdirectedRequest)
+		return
+	}
+	fault := ""
+	if t.Fault != nil {
+		fault = t.Fault(r)
+	}
+	key, _ := strconv.Atoi(r.Header.Get("Shard-Key"))
+	if status := t.begin(r, key, string(body), fault); status != 0 {
+		t.refuse(w, r, status)
+		return
+	}
+	defer t.end()
+	select {
+	case <-time.After(t.Work):
+	case <-r.Context().Done():
+		return
+	}
+	t.answer(w, r, fault)
+}
+
+// begin starts a request, or returns the status with which it is refused.
+func (t *Target) begin(r *http.Request, key int, body, fault string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.Keyed && !t.holds(key):
+		return http.StatusMisdirectedRequest
+	case fault == "refuse", t.Slots > 0 && t.running >= t.Slots:
+		return http.StatusServiceUnavailable
+	}
+	t.running++
+	t.runs = append(t.runs, Run{
+		Attempt: r.Header.Get("Attempt-Id"), Method: r.Method, Path: r.URL.RequestURI(), Body: body, Key: key, At: time.Now(),
+	})
+	return 0
+}
+
+func (t *Target) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running--
+}
+
+func (t *Target) refuse(w http.ResponseWriter, r *http.Request, status int) {
+	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(status)
+}
+
+// Seal is the signature of a target's answers.
+func Seal(attempt string) string { return "seal." + attempt }
+
+// Body is the body of the answer to an attempt.
+func Body(id, attempt string) string { return "answer of " + id + " to " + attempt }
+
+// answer writes the answer, spoilt as the fault says, on the raw connection.
+func (t *Target) answer(w http.ResponseWriter, r *http.Request, fault string) {
+	attempt := r.Header.Get("Attempt-Id")
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	text := message(attempt, Body(t.ID, attempt), true)
+	switch fault {
+	case "reset":
+		reset(conn)
+		return
+	case "silent":
+		time.Sleep(10 * time.Second)
+		return
+	case "short":
+		text = text[:len(text)-5]
+	case "extra":
+		text += message(attempt, "an answer too many", true)
+	case "crossed":
+		text = message("another", "of another request", true) + text
+	case "unframed":
+		text = message(attempt, Body(t.ID, attempt), false)
+	case "unframed-reset":
+		_, _ = io.WriteString(conn, message(attempt, Body(t.ID, attempt), false))
+		time.Sleep(20 * time.Millisecond)
+		reset(conn)
+		return
+	case "fail":
+		text = "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: " + attempt + "\r\nServer-Seal: " + Seal(attempt) +
+			"\r\nContent-Length: 6\r\n\r\nfailed"
+	}
+	_, _ = io.WriteString(conn, text)
+}
+
+func message(attempt, body string, framed bool) string {
+	text := "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nServer-Seal: " + Seal(attempt) + "\r\nServer-Load: 1,0,2,100\r\n"
+	if framed {
+		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	return text + "\r\n" + body
+}
+
+// reset closes a connection so that the peer sees a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
