Send parts by content and targets by difference; reuse connections

And 55,648 new connections were opened for 112,266 requests.

Ruled out: the store; it answered, the leader's own loop was late.

--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -168,8 +168,9 @@
 		view.Config = config
 	}
 	if c.observer.Complete() {
-		view.Targets = c.observer.Targets()
-		view.Evacuated = c.observer.Evacuated()
+		view.Targets, view.Evacuated = c.observer.Targets(), c.observer.Evacuated()
+		// A difference to the leader's last list no longer fits.
+		c.have.Targets = 0
 	}
 	c.publish(&view)
 }
--- a/internal/process/coordinator/keeper.go
+++ b/internal/process/coordinator/keeper.go
@@ -107,6 +107,17 @@
 	k.slices[service] = append([]fleet.Slice(nil), list...)
 }
 
+// adopt counts slices as ready that another leader has called so, until the
+// first renewals say otherwise.
+func (k *keeper) adopt(known map[string][]fleet.Slice) {
+	for service, list := range k.slices {
+		for i := range list {
+			s := fleet.Find(known[service], list[i].First)
+			list[i].Ready = s != nil && s.Ready && s.Fence == list[i].Fence && s.Owner == list[i].Owner && len(list[i].From) == 0
+		}
+	}
+}
+
 // formerEnded notes that no former leader gives out grants after a time.
 func (k *keeper) formerEnded(after time.Time) {
 	k.alone = true
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -156,9 +156,8 @@
 	for service, list := range l.keeper.slices {
 		view.Slices[service] = append([]fleet.Slice(nil), list...)
 	}
-	l.versions.Slices++
+	l.parts.setSlices(view.Slices)
 	c.publish(&view)
-	c.pushWithin(slicesPause)
 }
 
 // carryOut sends an order to a target.
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -39,9 +39,6 @@
 	resendAfter = 2 * time.Second
 	// pushPause gathers changes of the declarations before they are passed on.
 	pushPause = 20 * time.Millisecond
-	// slicesPause gathers changes of the owners of keys. The broker knows them at
-	// once; other VMs use them only while they do not reach it.
-	slicesPause = 200 * time.Millisecond
 	// writeTimeout bounds a write of the record.
 	writeTimeout = 1500 * time.Millisecond
 	// writeRetry is the pause after a write of the record that failed.
@@ -54,9 +51,7 @@
 	revision int64
 	keeper   *keeper
 	members  map[string]*member
-	versions *peerv1.PartVersions
-	// encoded is the configuration as it is sent.
-	encoded []byte
+	parts    *parts
 
 	// confirmedAt is the uptime at which the store last showed that this VM leads.
 	confirmedAt time.Duration
@@ -78,8 +73,6 @@
 	writing bool
 	// writes numbers the writes of the record, also those that failed.
 	writes uint64
-	// parts are the encoded parts of the present versions.
-	parts  parts
 	planAt time.Time
 }
 
@@ -91,9 +84,11 @@
 	followedAt time.Duration
 	term       uint64
 	leaving    bool
-	// sent are the versions that were last sent, at sentAt.
-	sent   *peerv1.PartVersions
-	sentAt time.Time
+	// sent are the versions that were last sent, at sentAt; nil until the VM has
+	// said what it has. detailsAt is when owners of keys or VMs were last sent.
+	sent      *peerv1.PartVersions
+	sentAt    time.Time
+	detailsAt time.Time
 }
 
 // takeOver writes this VM into the record and leads if that succeeds.
@@ -124,7 +119,7 @@
 func newLeadership(record fleet.Record, revision int64, formerEnded bool, view *fleet.View, now time.Time) *leadership {
 	l := &leadership{
 		record: record, revision: revision, writes: record.Write, keeper: newKeeper(record.Slices),
-		members: map[string]*member{}, versions: &peerv1.PartVersions{Term: record.Term, Slices: 1, Members: 1},
+		members: map[string]*member{}, parts: newParts(),
 		since: now, storeHeardAt: now, touchAt: now.Add(touchEvery),
 	}
 	if formerEnded {
@@ -134,7 +129,7 @@
 	}
 	for name, m := range view.Members {
 		if name != record.Leader.VM {
-			l.members[name] = &member{Member: m, heardAt: now, sent: &peerv1.PartVersions{}}
+			l.members[name] = &member{Member: m, heardAt: now}
 		}
 	}
 	return l
@@ -149,9 +144,13 @@
 		c.observer.Seed(c.view)
 		c.observer.Start(c.ctx)
 	}
+	// The own view goes its own ways from here on.
+	c.have = &peerv1.PartVersions{}
+	l.keeper.adopt(c.view.Slices)
 	view := *c.view
 	view.Term, view.Leader = l.record.Term, c.config.Self
 	c.publish(&view)
+	c.slicesChanged()
 	l.declarationsChanged = true
 	c.leadTick(time.Now())
 	c.pushAll()
@@ -196,21 +195,16 @@
 	l := c.lead
 	view := *c.view
 	if config := c.observer.Config(); config != nil && (view.Config == nil || config.Version >= view.Config.Version) {
-		if l.encoded == nil || view.Config == nil || config.Version > view.Config.Version {
-			l.encoded = encodeConfig(config)
-			l.versions.Config++
-		}
+		l.parts.setConfig(config)
 		view.Config = config
 	}
 	if c.observer.Complete() {
 		view.Targets, view.Evacuated = c.observer.Targets(), c.observer.Evacuated()
-		l.versions.Targets++
+		l.parts.setTargets(view.Targets, view.Evacuated)
 		c.noteLives(view.Targets)
 	}
-	if brokers := c.brokers(view.Config); !maps.Equal(brokers, view.Brokers) {
-		view.Brokers = brokers
-		l.versions.Members++
-	}
+	view.Brokers = c.brokers(view.Config)
+	l.parts.setMembers(view.Members, view.Brokers)
 	c.publish(&view)
 	c.pushWithin(pushPause)
 }
@@ -278,25 +272,41 @@
 func (c *Coordinator) push(m *member, now time.Time) {
 	l := c.lead
 	state := &peerv1.FleetState{
-		Term: l.record.Term, Leader: identity(c.config.Self), Versions: proto.Clone(l.versions).(*peerv1.PartVersions),
+		Term: l.record.Term, Leader: identity(c.config.Self), Versions: l.parts.versions(),
 		StoreLost: l.storeLost, Leaving: c.leaving,
 	}
-	if m.sent.Config < l.versions.Config {
-		state.Config = l.encoded
+	if m.sent != nil {
+		c.addParts(state, m, now)
 	}
-	if m.sent.Targets < l.versions.Targets {
-		state.Targets = l.parts.targets(c.view, l.versions.Targets, now)
+	c.config.Sender.Send(m.VM, &peerv1.Control{Kind: &peerv1.Control_FleetState{FleetState: state}})
+}
+
+// addParts adds the parts to a state that a VM lacks.
+func (c *Coordinator) addParts(state *peerv1.FleetState, m *member, now time.Time) {
+	p := c.lead.parts
+	if m.sent.Config < p.digests.Config {
+		state.Config, m.sent.Config, m.sentAt = p.config, p.digests.Config, now
 	}
-	if m.sent.Slices < l.versions.Slices {
-		state.Slices = l.parts.slices(l.keeper.slices, l.versions.Slices)
+	if m.sent.Targets != p.digests.Targets {
+		state.Targets = p.targetList(m.sent.Targets, now)
+		m.sent.Targets, m.sentAt = p.digests.Targets, now
 	}
-	if m.sent.Members < l.versions.Members {
-		state.Members = l.parts.members(c.view, l.versions.Members)
+	if now.Sub(m.detailsAt) < c.detailPause() {
+		return
 	}
-	if state.Config != nil || state.Targets != nil || state.Slices != nil || state.Members != nil {
-		m.sent, m.sentAt = state.Versions, now
+	if p.slices != nil && m.sent.Slices != p.digests.Slices {
+		state.Slices, m.sent.Slices, m.sentAt, m.detailsAt = p.slices, p.digests.Slices, now, now
 	}
-	c.config.Sender.Send(m.VM, &peerv1.Control{Kind: &peerv1.Control_FleetState{FleetState: state}})
+	if m.sent.Members != p.digests.Members {
+		state.Members, m.sent.Members, m.sentAt, m.detailsAt = p.members, p.digests.Members, now, now
+	}
+}
+
+func (c *Coordinator) detailPause() time.Duration {
+	if len(c.lead.members) > largeFleet {
+		return largePause
+	}
+	return detailPause
 }
 
 // handleReport takes in a VM's report and answers with what it lacks.
@@ -312,17 +322,16 @@
 	}
 	m := l.members[from.VM]
 	if m == nil || m.Incarnation != from.Incarnation {
-		m = &member{Member: fleet.Member{VM: from.VM, Incarnation: from.Incarnation, Address: report.Address}, sent: &peerv1.PartVersions{}}
+		m = &member{Member: fleet.Member{VM: from.VM, Incarnation: from.Incarnation, Address: report.Address}}
 		l.members[from.VM] = m
 		c.membersChanged()
 	}
 	m.heardAt, m.followedAt, m.term, m.leaving = now, c.config.Uptime(), report.Term, report.Leaving
-	have := report.Have
-	if have == nil || have.Term != l.record.Term {
-		have = &peerv1.PartVersions{}
-	}
-	if now.Sub(m.sentAt) > resendAfter {
-		m.sent = proto.Clone(have).(*peerv1.PartVersions)
+	if m.sent == nil || now.Sub(m.sentAt) > resendAfter {
+		m.sent = &peerv1.PartVersions{}
+		if report.Have != nil {
+			m.sent = proto.Clone(report.Have).(*peerv1.PartVersions)
+		}
 	}
 	c.push(m, now)
 }
@@ -335,7 +344,7 @@
 	for name, m := range l.members {
 		view.Members[name] = m.Member
 	}
-	l.versions.Members++
+	l.parts.setMembers(view.Members, view.Brokers)
 	c.publish(&view)
 }
 
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -90,7 +90,6 @@
 	changed := state.Config != nil || state.Targets != nil || state.Slices != nil || state.Members != nil
 	if state.Term > view.Term || view.Leader.Incarnation != state.Leader.Incarnation {
 		changed = true
-		c.have = &peerv1.PartVersions{Term: state.Term}
 		events.LeaderFollowed.Log(c.config.Logger).Uint64("term", state.Term).Str("leader", state.Leader.Vm).
 			Uint64("term_before", view.Term).Str("leader_before", view.Leader.VM).Send()
 	}
@@ -125,9 +124,10 @@
 			}
 		}
 	}
-	if state.Targets != nil {
+	// A difference to another list than this VM's is sent again in full.
+	if state.Targets != nil && (state.Targets.Base == 0 || state.Targets.Base == c.have.Targets) {
 		c.have.Targets = state.Versions.Targets
-		view.Targets, view.Evacuated = targetsFromWire(state.Targets, now)
+		view.Targets, view.Evacuated = targetsFromWire(state.Targets, view.Targets, now)
 	}
 	if state.Slices != nil {
 		c.have.Slices = state.Versions.Slices
@@ -276,7 +276,6 @@
 func (c *Coordinator) follow(record *fleet.Record, now time.Time) {
 	view := *c.view
 	view.Term, view.Leader = record.Term, record.Leader
-	c.have = &peerv1.PartVersions{Term: record.Term}
 	c.yielding, c.leaderEnded = false, false
 	if c.heardAt.Before(now.Add(-silentAfter)) {
 		// The new leader gets the time of a silent one to answer.
--- /dev/null
+++ b/internal/process/coordinator/parts_test.go
@@ -0,0 +1,100 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+func manyTargets(count int) map[string]*fleet.Target {
+	targets := map[string]*fleet.Target{}
+	for i := range count {
+		id := fmt.Sprintf("i-%08d", i)
+		targets[id] = &fleet.Target{
+			Life: fleet.Life{ID: id, Born: 1700000000000 + int64(i)}, Service: "service", Address: "10.128.0.9:8080", FailureDomain: "a", Slots: 2,
+		}
+	}
+	return targets
+}
+
+func changed(targets map[string]*fleet.Target, id string, change func(*fleet.Target)) map[string]*fleet.Target {
+	next := map[string]*fleet.Target{}
+	for key, t := range targets {
+		next[key] = t
+	}
+	copied := *targets[id]
+	change(&copied)
+	next[id] = &copied
+	return next
+}
+
+// TestDifferenceBringsUpToDate: a VM that has a former list gets what changed,
+// in a message that does not grow with the fleet.
+func TestDifferenceBringsUpToDate(t *testing.T) {
+	now := time.Now()
+	p := newParts()
+	first := manyTargets(200)
+	p.setTargets(first, nil)
+	full := p.targetList(0, now)
+	has, _ := targetsFromWire(full, nil, now)
+	base := p.digests.Targets
+
+	second := changed(first, "i-00000007", func(t *fleet.Target) { t.Leaving = true })
+	delete(second, "i-00000003")
+	p.setTargets(second, map[string]bool{"b": true})
+	difference := p.targetList(base, now)
+	assert.Assert(t, proto.Size(difference) < proto.Size(full)/50, "%d bytes of %d", proto.Size(difference), proto.Size(full))
+	got, evacuated := targetsFromWire(difference, has, now)
+	assert.Equal(t, len(got), 199)
+	assert.Assert(t, got["i-00000007"].Leaving && got["i-00000003"] == nil && evacuated["b"])
+	assert.Equal(t, digestTargets(got, evacuated), p.digests.Targets)
+}
+
+// TestUnknownBaseGetsEverything.
+func TestUnknownBaseGetsEverything(t *testing.T) {
+	p := newParts()
+	p.setTargets(manyTargets(5), nil)
+	list := p.targetList(12345, time.Now())
+	assert.Equal(t, list.Base, uint64(0))
+	assert.Equal(t, len(list.Targets), 5)
+}
+
+// TestSameContentHasOneName: a new leader with the same knowledge sends nothing
+// again.
+func TestSameContentHasOneName(t *testing.T) {
+	a, b := newParts(), newParts()
+	targets := manyTargets(20)
+	a.setTargets(targets, map[string]bool{"x": true, "y": true})
+	again, evacuated := targetsFromWire(a.targetList(0, time.Now()), nil, time.Now())
+	b.setTargets(again, evacuated)
+	assert.Equal(t, a.digests.Targets, b.digests.Targets)
+	b.setTargets(changed(again, "i-00000001", func(t *fleet.Target) { t.Born++ }), evacuated)
+	assert.Assert(t, a.digests.Targets != b.digests.Targets)
+}
+
+// TestTakeOverDecision: who may take over from whom.
+func TestTakeOverDecision(t *testing.T) {
+	silent := 2 * silentAfter
+	for name, c := range map[string]struct {
+		evidence
+		may bool
+	}{
+		"heard":                           {evidence{silentFor: silentAfter / 2}, false},
+		"yields":                          {evidence{yielding: true}, true},
+		"its process is gone":             {evidence{ended: true, silentFor: silent}, true},
+		"refused here, heard elsewhere":   {evidence{ended: true, silentFor: silent, known: 5, asked: 3, deaf: 2}, false},
+		"nobody hears it":                 {evidence{silentFor: silent, known: 5, asked: 3, deaf: 3}, true},
+		"one of three hears it":           {evidence{silentFor: silent, known: 5, asked: 3, deaf: 2}, false},
+		"this VM hears nobody":            {evidence{silentFor: silent, known: 5}, false},
+		"this VM hears nobody, for long":  {evidence{silentFor: 4 * silent, known: 5, unchangedFor: aloneAfter}, true},
+		"hears nobody, but it is written": {evidence{silentFor: 10 * silent, known: 5, unchangedFor: aloneAfter / 2}, false},
+	} {
+		may, why := mayTakeOver(c.evidence)
+		assert.Equal(t, may, c.may, "%s: %s", name, why)
+	}
+}
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -8,65 +9,46 @@
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
-// partAge is how long an encoded list of targets is used: the times in it are
-// relative.
-const partAge = 100 * time.Millisecond
-
-// parts keeps the parts of a leader's state as they are sent, so that one change
-// is encoded once for all VMs.
-type parts struct {
-	targetList *peerv1.TargetList
-	targetsAt  time.Time
-	sliceList  *peerv1.SliceList
-	memberList *peerv1.MemberList
-	have       struct{ Targets, Slices, Members uint64 }
-}
-
-func (p *parts) targets(view *fleet.View, version uint64, now time.Time) *peerv1.TargetList {
-	if p.targetList == nil || p.have.Targets != version || now.Sub(p.targetsAt) > partAge {
-		p.targetList, p.have.Targets, p.targetsAt = targetsToWire(view.Targets, view.Evacuated, now), version, now
+// differenceOf writes the targets that are new or different since a former list,
+// which may be nil. How long a target is cold is relative to now, and sent for
+// every target that is.
+func differenceOf(former, present map[string]*fleet.Target, now time.Time) *peerv1.TargetList {
+	list := &peerv1.TargetList{}
+	for id, t := range present {
+		if before := former[id]; before == nil || *before != *t {
+			list.Targets = append(list.Targets, targetToWire(t, now))
+		}
 	}
-	return p.targetList
-}
-
-func (p *parts) slices(services map[string][]fleet.Slice, version uint64) *peerv1.SliceList {
-	if p.sliceList == nil || p.have.Slices != version {
-		p.sliceList, p.have.Slices = slicesToWire(services), version
+	for id := range former {
+		if present[id] == nil {
+			list.Removed = append(list.Removed, id)
+		}
 	}
-	return p.sliceList
+	return list
 }
 
-func (p *parts) members(view *fleet.View, version uint64) *peerv1.MemberList {
-	if p.memberList == nil || p.have.Members != version {
-		p.memberList, p.have.Members = membersToWire(view.Members, view.Brokers), version
+func targetToWire(t *fleet.Target, now time.Time) *peerv1.TargetState {
+	return &peerv1.TargetState{
+		Id: t.ID, Born: t.Born, Service: t.Service, Address: t.Address, FailureDomain: t.FailureDomain,
+		Slots: uint32(t.Slots), Leaving: t.Leaving, ColdMillis: uint32(max(t.ColdUntil.Sub(now).Milliseconds(), 0)),
 	}
-	return p.memberList
 }
 
-// targetsToWire writes targets; how long they are cold is relative to now.
-func targetsToWire(targets map[string]*fleet.Target, evacuated map[string]bool, now time.Time) *peerv1.TargetList {
-	list := &peerv1.TargetList{}
-	for _, t := range targets {
-		cold := max(t.ColdUntil.Sub(now).Milliseconds(), 0)
-		list.Targets = append(list.Targets, &peerv1.TargetState{
-			Id: t.ID, Born: t.Born, Service: t.Service, Address: t.Address, FailureDomain: t.FailureDomain,
-			Slots: uint32(t.Slots), Leaving: t.Leaving, ColdMillis: uint32(cold),
-		})
-	}
-	for domain := range evacuated {
-		list.Evacuated = append(list.Evacuated, domain)
+// targetsFromWire returns the targets after a list or a difference to former.
+func targetsFromWire(list *peerv1.TargetList, former map[string]*fleet.Target, now time.Time) (map[string]*fleet.Target, map[string]bool) {
+	targets := make(map[string]*fleet.Target, len(former)+len(list.Targets))
+	if list.Base != 0 {
+		maps.Copy(targets, former)
 	}
-	return list
-}
-
-func targetsFromWire(list *peerv1.TargetList, now time.Time) (map[string]*fleet.Target, map[string]bool) {
-	targets := make(map[string]*fleet.Target, len(list.Targets))
 	for _, t := range list.Targets {
 		targets[t.Id] = &fleet.Target{
 			Life: fleet.Life{ID: t.Id, Born: t.Born}, Service: t.Service, Address: t.Address, FailureDomain: t.FailureDomain,
 			Slots: int(t.Slots), Leaving: t.Leaving, ColdUntil: now.Add(time.Duration(t.ColdMillis) * time.Millisecond),
 		}
 	}
+	for _, id := range list.Removed {
+		delete(targets, id)
+	}
 	evacuated := map[string]bool{}
 	for _, domain := range list.Evacuated {
 		evacuated[domain] = true
--- a/internal/request/admission/load_test.go
+++ b/internal/request/admission/load_test.go
@@ -242,3 +242,21 @@
 	assert.Equal(t, len(decisions), 3)
 	assert.Equal(t, decisions[2].Refused, admission.Reason(""))
 }
+
+// TestConnectionsAreReused: a VM keeps to targets to which it has connections
+// while they are as good as others.
+func TestConnectionsAreReused(t *testing.T) {
+	p := newPlay(usual(), fleetOf(fleet.Service{Name: "s"}, 20))
+	p.vms = 40
+	p.arrive(with(browse, 100), 0, 20*time.Second)
+	p.until(21 * time.Second)
+	last := map[string]time.Time{}
+	reused := p.share(every, func(r *played) bool {
+		pair := r.ID.VM + ">" + r.target
+		kept := r.startedAt.Sub(last[pair]) < 7*time.Second
+		last[pair] = r.startedAt
+		return kept
+	})
+	assert.Assert(t, reused > 0.75, "%f of the requests went to a target of the last 7 s", reused)
+	assert.Assert(t, p.share(every, (*played).inAim) > 0.98)
+}
--- a/internal/request/admission/play_test.go
+++ b/internal/request/admission/play_test.go
@@ -23,6 +23,8 @@
 	random *rand.Rand
 	events agenda
 	number uint64
+	// vms is the number of VMs that send; 0 means one.
+	vms int
 	// slowness of a target at a moment; nil means 1.
 	slowness func(target string, now time.Time) float64
 	// fails reports whether a target refuses a request.
@@ -132,7 +134,7 @@
 	r := &played{
 		arrivedAt: p.now, work: time.Duration((0.5 + p.random.Float64()) * float64(l.work)),
 		Request: admission.Request{
-			ID: admission.ID{VM: "vm", Number: p.number}, Service: l.service, Class: l.class, Domain: l.domain,
+			ID: admission.ID{VM: fmt.Sprint("vm", p.random.IntN(max(p.vms, 1))), Number: p.number}, Service: l.service, Class: l.class, Domain: l.domain,
 			Priority: l.priority, Aim: p.now.Add(l.aim), Deadline: p.now.Add(l.deadline), Large: l.large, Repeat: repeat,
 		},
 	}
--- a/internal/request/admission/pool.go
+++ b/internal/request/admission/pool.go
@@ -25,6 +25,10 @@
 	// crossDomain is how much quicker a target in another failure domain must be
 	// to be preferred.
 	crossDomain = 4 * time.Millisecond
+	// connecting is how much quicker a target must be to be preferred to one to
+	// which the VM has a connection: opening one takes a round trip and a slot for
+	// a moment, and targets bear a limited number.
+	connecting = 4 * time.Millisecond
 	// localShare is the share of the spare time before its aim that a large
 	// request waits for a target of its own failure domain.
 	localShare = 0.5
@@ -288,6 +292,9 @@
 	if t.FailureDomain != r.Domain {
 		cost += crossDomain
 	}
+	if !t.connected(r.ID.VM, now) {
+		cost += connecting
+	}
 	return cost
 }
 
@@ -310,6 +317,7 @@
 // permit lets a request run.
 func (p *pool) permit(r *Request, t *target, now time.Time) {
 	t.running++
+	t.sentBy[r.ID.VM] = now
 	if t.cold(now) {
 		t.starts = append(t.starts, now)
 	}
--- a/internal/request/admission/target.go
+++ b/internal/request/admission/target.go
@@ -28,6 +28,8 @@
 	// connection; it doubles with each failure up to unreachableMax.
 	unreachablePause = 200 * time.Millisecond
 	unreachableMax   = 2 * time.Second
+	// connectionKept is how long a VM keeps an unused connection to a target.
+	connectionKept = 7 * time.Second
 	// coldWindow is the window over which starts at a cold target are counted;
 	// it exceeds a second by the spread of the delays on the way.
 	coldWindow = 1100 * time.Millisecond
@@ -55,10 +57,12 @@
 	pauses      int
 	// starts are the recent starts while the target is cold.
 	starts []time.Time
+	// sentBy is when each VM was last permitted to send here.
+	sentBy map[string]time.Time
 }
 
 func newTarget(declared *fleet.Target, now time.Time) *target {
-	return &target{Target: *declared, slowness: 1, pace: 1, measuredAt: now}
+	return &target{Target: *declared, slowness: 1, pace: 1, measuredAt: now, sentBy: map[string]time.Time{}}
 }
 
 // relativeTime is the expected service time relative to the mean of the
@@ -71,6 +75,11 @@
 	return t.slowness * pace
 }
 
+// connected reports whether a VM is likely to have an open connection.
+func (t *target) connected(vm string, now time.Time) bool {
+	return now.Sub(t.sentBy[vm]) < connectionKept
+}
+
 // cold reports whether the target is cold.
 func (t *target) cold(now time.Time) bool { return now.Before(t.ColdUntil) }
 
--- a/internal/testutil/cluster/cluster.go
+++ b/internal/testutil/cluster/cluster.go
@@ -145,7 +145,7 @@
 
 func (c *Cluster) startStore() {
 	address := faultproxy.FreeAddress(c.t)
-	process := startProcess(c.t, c.dir, "store", programs(c.t).store, "--listen", address)
+	process := StartProcess(c.t, c.dir, "store", programs(c.t).store, "--listen", address)
 	c.Store = &Store{Process: process, Client: store.NewHTTP("http://" + address), address: address}
 	waitListening(c.t, process, address)
 }
@@ -173,7 +173,7 @@
 	document, err := json.Marshal(fake)
 	assert.NilError(c.t, err)
 	address := faultproxy.FreeAddress(c.t)
-	process := startProcess(c.t, c.dir, name, programs(c.t).target, "--listen", address, "--settings", string(document))
+	process := StartProcess(c.t, c.dir, name, programs(c.t).target, "--listen", address, "--settings", string(document))
 	waitListening(c.t, process, address)
 	target := &Target{Process: process, Name: name, Address: address, Link: c.proxy.Link(name, address)}
 	c.Targets = append(c.Targets, target)
@@ -207,7 +207,7 @@
 		content, err := json.Marshal(vm.settings)
 		assert.NilError(c.t, err)
 		assert.NilError(c.t, os.WriteFile(path, content, 0o600))
-		vm.Process = startProcess(c.t, c.dir, vm.Name, programs(c.t).daemon, "run", "--settings", path)
+		vm.Process = StartProcess(c.t, c.dir, vm.Name, programs(c.t).daemon, "run", "--settings", path)
 	}
 }
 
--- a/internal/testutil/cluster/process.go
+++ b/internal/testutil/cluster/process.go
@@ -31,8 +31,8 @@
 // logTailBytes is how much of a failed test's logs is shown.
 const logTailBytes = 4000
 
-// startProcess starts a program.
-func startProcess(t testing.TB, dir, name, path string, args ...string) *Process {
+// StartProcess starts a program whose output goes to a file in dir.
+func StartProcess(t testing.TB, dir, name, path string, args ...string) *Process {
 	t.Helper()
 	p := &Process{t: t, Name: name, path: path, args: args, LogPath: filepath.Join(dir, name+".log")}
 	p.Start()
--- a/internal/testutil/faultproxy/faultproxy.go
+++ b/internal/testutil/faultproxy/faultproxy.go
@@ -86,6 +86,13 @@
 	assert.NilError(l.t, l.proxy.Start())
 }
 
+// Redirect closes all connections and leads new ones to another address.
+func (l *Link) Redirect(upstream string) {
+	l.Break()
+	l.proxy.Upstream = upstream
+	l.Restore()
+}
+
 // Heal removes all faults. Connections that were cut are closed, as their
 // data is lost.
 func (l *Link) Heal() {
--- /dev/null
+++ b/tests/platform/platform_test.go
@@ -0,0 +1,265 @@
+// Package platform_test runs real daemons against stand-ins of the users'
+// platform and servers.
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/cluster"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/deployment"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/fencetarget"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/platformstub"
+)
+
+func TestMain(m *testing.M) { cluster.Main(m) }
+
+const (
+	// startBound is how long a deployment may take to serve.
+	startBound = 10 * time.Second
+	// drainBound is the time from a server's notice to its last new request.
+	drainBound = 2 * time.Second
+	// applyBound is the time within which a configuration is in force.
+	applyBound = 2 * time.Second
+	// stopBound is the time from SIGTERM to SIGKILL.
+	stopBound = 6 * time.Second
+)
+
+// start runs some VMs with three servers of each service.
+func start(t *testing.T, vms int) *deployment.Deployment {
+	d := deployment.New(t)
+	for i := range 3 {
+		d.AddTarget(fmt.Sprintf("free-%d", i), "free", fencetarget.Settings{Work: 20 * time.Millisecond})
+		d.AddTarget(fmt.Sprintf("keyed-%d", i), "keyed", fencetarget.Settings{Work: 10 * time.Millisecond})
+	}
+	for range vms {
+		d.AddVM()
+	}
+	d.WaitReady(startBound)
+	return d
+}
+
+// traffic sends requests to VMs until it is stopped.
+type traffic struct {
+	mu      sync.Mutex
+	results []deployment.Result
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+}
+
+func send(t *testing.T, vms []*deployment.VM, path string, each time.Duration) *traffic {
+	ctx, cancel := context.WithCancel(t.Context())
+	load := &traffic{stop: cancel}
+	for i, vm := range vms {
+		load.done.Go(func() {
+			caller := vm.Caller()
+			defer caller.Close()
+			for key := i; ctx.Err() == nil; key++ {
+				method, body := http.MethodGet, io.Reader(nil)
+				if strings.HasPrefix(path, "/once/") {
+					method, body = http.MethodPost, strings.NewReader("x")
+				}
+				r := caller.Send(t.Context(), method, path, key*deployment.KeyStep%65536, body)
+				load.mu.Lock()
+				load.results = append(load.results, r)
+				load.mu.Unlock()
+				time.Sleep(each)
+			}
+		})
+	}
+	return load
+}
+
+// end stops the traffic and returns what callers got.
+func (l *traffic) end() []deployment.Result {
+	l.stop()
+	l.done.Wait()
+	return l.results
+}
+
+func failures(results []deployment.Result) (failed []deployment.Result) {
+	for _, r := range results {
+		if r.Err != nil || !r.Whole {
+			failed = append(failed, r)
+		}
+	}
+	return failed
+}
+
+// TestPath: requests of every kind get their answers from any VM.
+func TestPath(t *testing.T) {
+	d := start(t, 3)
+	for _, path := range []string{"/read/x", "/once/x", "/keyed/x"} {
+		load := send(t, d.VMs, path, 5*time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
+		results := load.end()
+		assert.Assert(t, len(results) > 20)
+		assert.Equal(t, len(failures(results)), 0, "%v", failures(results))
+	}
+	response, err := http.Get("http://" + d.VMs[0].Metrics + "/metrics")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(text), "requests_answered"), "the metrics lack the answered requests")
+}
+
+// TestLeaderIsKilled: the others go on, keys are served again within a second.
+func TestLeaderIsKilled(t *testing.T) {
+	d := start(t, 3)
+	leader := d.Leader()
+	var others []*deployment.VM
+	for _, vm := range d.VMs {
+		if vm != leader {
+			others = append(others, vm)
+		}
+	}
+	load := send(t, others, "/keyed/x", 10*time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
+	leader.Kill()
+	time.Sleep(2500 * time.Millisecond)
+	results := load.end()
+	next := d.Leader()
+	assert.Assert(t, next != nil && next != leader)
+	// Both callers send each 10 ms and more; a second of failures is the bound.
+	failed := failures(results)
+	assert.Assert(t, len(failed) < 2*100, "%d of %d requests failed", len(failed), len(results))
+	assert.Assert(t, len(failures(results[len(results)-20:])) == 0)
+}
+
+// TestStopLosesNothing: SIGTERM to each VM in turn, also the leader, under
+// traffic on kept connections.
+func TestStopLosesNothing(t *testing.T) {
+	d := start(t, 3)
+	load := send(t, d.VMs, "/once/x", 5*time.Millisecond)
+	leader := d.Leader()
+	time.Sleep(200 * time.Millisecond)
+	assert.NilError(t, leader.Stop(stopBound))
+	results := load.end()
+	for _, r := range results {
+		// New connections to a VM that has ended are refused: nothing was read.
+		if r.Err != nil {
+			assert.ErrorContains(t, r.Err, "connection refused")
+			continue
+		}
+		assert.Assert(t, r.Whole || r.Status == http.StatusServiceUnavailable, "%v", r)
+	}
+}
+
+// TestSettingsChangeLosesNothing: SIGHUP.
+func TestSettingsChangeLosesNothing(t *testing.T) {
+	d := start(t, 1)
+	load := send(t, d.VMs, "/read/x", 5*time.Millisecond)
+	for range 3 {
+		time.Sleep(100 * time.Millisecond)
+		d.VMs[0].Signal(hangUp)
+	}
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, len(failures(load.end())), 0)
+}
+
+// TestDrainingServerGetsNothing after the bound, and no request fails.
+func TestDrainingServerGetsNothing(t *testing.T) {
+	for _, id := range []string{"free-0", "keyed-0"} {
+		d := start(t, 2)
+		path := "/read/x"
+		if strings.HasPrefix(id, "keyed") {
+			path = "/keyed/x"
+		}
+		load := send(t, d.VMs, path, 5*time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
+		d.Register(id, "draining")
+		acknowledged := time.Now()
+		time.Sleep(drainBound + time.Second)
+		assert.Equal(t, len(failures(load.end())), 0)
+		for _, run := range d.Target(id).Runs() {
+			assert.Assert(t, run.At.Sub(acknowledged) < drainBound, "%s ran a request %s after its notice", id, run.At.Sub(acknowledged))
+		}
+	}
+}
+
+// TestEvacuatedDomainGetsNothing: all servers lie in one domain, so that
+// requests are refused as not run, until it is restored.
+func TestEvacuatedDomainGetsNothing(t *testing.T) {
+	d := start(t, 2)
+	d.Store.Set("evacuations", "a", map[string]any{}, nil)
+	time.Sleep(applyBound)
+	caller := d.VMs[1].Caller()
+	defer caller.Close()
+	assert.Equal(t, caller.Send(t.Context(), http.MethodGet, "/read/x", 0, nil).Status, http.StatusServiceUnavailable)
+	d.Store.Remove("evacuations", "a")
+	time.Sleep(applyBound)
+	assert.Assert(t, caller.Send(t.Context(), http.MethodGet, "/read/x", 0, nil).Whole)
+}
+
+// TestConfigurationIsInForce on every VM within the bound, also while the store
+// has dropped its history without a word, and unreadable entries change nothing.
+func TestConfigurationIsInForce(t *testing.T) {
+	d := start(t, 3)
+	d.Store.Set("servers", "forged", map[string]any{"address": 7}, nil)
+	d.Store.Set("servers", "broken", "text", nil)
+	d.Store.SetFaults(platformstub.Faults{MuteWatches: true})
+	d.Configure(map[string]string{"/added/": "free"})
+	d.Store.DropHistory()
+	time.Sleep(300 * time.Millisecond)
+	d.Store.SetFaults(platformstub.Faults{})
+	time.Sleep(applyBound - 300*time.Millisecond)
+	for _, vm := range d.VMs {
+		caller := vm.Caller()
+		r := caller.Send(t.Context(), http.MethodGet, "/added/x", 0, nil)
+		assert.Assert(t, r.Whole, "%s answers %d", vm.Name, r.Status)
+		caller.Close()
+	}
+}
+
+// TestStoreOutage: requests go on, keys stay with their owners.
+func TestStoreOutage(t *testing.T) {
+	for _, faults := range []platformstub.Faults{{Status: http.StatusServiceUnavailable}, {Silent: true}} {
+		d := start(t, 3)
+		d.Store.SetFaults(faults)
+		load := send(t, d.VMs, "/keyed/x", 10*time.Millisecond)
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, len(failures(load.end())), 0)
+	}
+}
+
+// TestServerEnds: its keys are served by others within the bound, requests of
+// the free service go on.
+func TestServerEnds(t *testing.T) {
+	d := start(t, 2)
+	load := send(t, d.VMs, "/read/x", 10*time.Millisecond)
+	d.EndTarget("keyed-1")
+	d.EndTarget("free-1")
+	began := time.Now()
+	caller := d.VMs[0].Caller()
+	defer caller.Close()
+	for key := 0; key < 65536; key += deployment.KeyStep {
+		for !caller.Send(t.Context(), http.MethodGet, "/keyed/x", key, nil).Whole {
+			assert.Assert(t, time.Since(began) < 2*time.Second, "key %d is not served again", key)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	assert.Equal(t, len(failures(load.end())), 0)
+}
+
+// TestAddressUsedAgain: a server of another service takes over the address of
+// one that is gone; no request is run by the wrong one.
+func TestAddressUsedAgain(t *testing.T) {
+	d := start(t, 1)
+	old := d.Target("free-0")
+	impostor := fencetarget.New(fencetarget.Settings{ID: "other"})
+	listener := startServer(t, impostor)
+	old.Link.Redirect(listener)
+	load := send(t, d.VMs, "/once/x", 5*time.Millisecond)
+	time.Sleep(time.Second)
+	assert.Equal(t, len(failures(load.end())), 0)
+	assert.Equal(t, len(impostor.Runs()), 0)
+}
