--- a/internal/testutil/platformstub/platformstub.go
+++ b/internal/testutil/platformstub/platformstub.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -200,6 +201,8 @@
 		}
 	}
 	if f.Silent {
+		// Only a read of the whole request lets the server notice its end.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return false
 	}
