--- a/cmd/chestnutcoursed/platform.go
+++ b/cmd/chestnutcoursed/platform.go
@@ -60,7 +60,7 @@
 
 func gatewaySettings(s *platform.Settings) gateway.Settings {
 	return gateway.Settings{
-		VM: s.VM, FailureDomain: s.FailureDomain, Region: s.Region,
+		VM: s.VM, FailureDomain: s.FailureDomain,
 		Callers: s.CallersAddress, Ready: s.ReadyAddress, Peers: s.PeersAddress, Metrics: s.MetricsAddress,
 		Deployment: deployment, Processor: s.Processor,
 		Broker: admission.Config{
--- a/internal/connection/caller/caller_test.go
+++ b/internal/connection/caller/caller_test.go
@@ -211,7 +211,7 @@
 	_, err := reader.ReadByte()
 	assert.Assert(t, err != nil, "a head that does not end is cut off")
 
-	conn, reader = f.dial(t)
+	_, reader = f.dial(t)
 	began := time.Now()
 	_, err = reader.ReadByte()
 	assert.Assert(t, err != nil && time.Since(began) > 150*time.Millisecond, "%v", err)
--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -86,8 +86,6 @@
 	seenSince    time.Time
 	lookPause    time.Duration
 	looking      bool
-	// leaderEnded is set once the leader's process is known to be gone.
-	leaderEnded bool
 
 	lead    *leadership
 	leaving bool
--- a/internal/process/coordinator/keeper.go
+++ b/internal/process/coordinator/keeper.go
@@ -44,6 +44,8 @@
 	formerIsGone bool
 	// handovers are the words of former owners on their keys, by the slice's fence.
 	handovers map[uint64]string
+	// hold is how long a grant lasts.
+	hold time.Duration
 	// refusals counts refused connections, one after the other, by target.
 	refusals map[fleet.Life]int
 	// gone are lives that are over; they get no more orders, which another life
@@ -89,8 +91,9 @@
 }
 
 // newKeeper takes over the slices of a record.
-func newKeeper(slices map[string][]fleet.Slice) *keeper {
+func newKeeper(slices map[string][]fleet.Slice, hold time.Duration) *keeper {
 	k := &keeper{
+		hold:   hold,
 		slices: map[string][]fleet.Slice{}, mayHoldUntil: map[fleet.Life]time.Time{},
 		handovers: map[uint64]string{}, refusals: map[fleet.Life]int{}, gone: map[fleet.Life]bool{}, underWay: map[fleet.Life]int{}, late: map[fleet.Life]bool{}, ordering: map[order]bool{}, retryAt: map[order]time.Time{},
 		renewAt: map[sliceID]time.Time{}, readySince: map[sliceID]time.Time{},
@@ -121,7 +124,7 @@
 // formerEnded notes that no former leader gives out grants after a time.
 func (k *keeper) formerEnded(after time.Time) {
 	k.alone = true
-	k.heldBefore = after.Add(longestHeld(usualHold))
+	k.heldBefore = after.Add(longestHeld(k.hold))
 }
 
 // longestHeld is how long after its arrival a grant may be in force.
@@ -230,10 +233,10 @@
 
 // granted notes the end of a grant; unless it was refused, the target may hold
 // the keys until the hold has run out. It reports whether the slice became ready.
-func (k *keeper) granted(t task, ok bool, hold time.Duration, now time.Time) bool {
+func (k *keeper) granted(t task, ok bool, now time.Time) bool {
 	k.orderEnded(t)
 	k.late[t.target] = k.late[t.target] || k.gone[t.target]
-	until := now.Add(longestHeld(hold))
+	until := now.Add(longestHeld(k.hold))
 	if until.After(k.mayHoldUntil[t.target]) {
 		k.mayHoldUntil[t.target] = until
 	}
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -189,9 +189,12 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, grantTimeout)
 	defer cancel()
-	return "", c.config.Targets.Grant(ctx, address, t.slice, usualHold, t.handover)
+	return "", c.config.Targets.Grant(ctx, address, t.slice, c.hold(), t.handover)
 }
 
+// hold is how long a grant lasts.
+func (c *Coordinator) hold() time.Duration { return min(usualHold, c.config.LongestHold) }
+
 // orderDone notes the result of an order.
 func (c *Coordinator) orderDone(t task, handover string, err error, began time.Time) {
 	k := c.lead.keeper
@@ -209,7 +212,7 @@
 	case t.release:
 		k.failed(t, now)
 	default:
-		changed = k.granted(t, err == nil, usualHold, now)
+		changed = k.granted(t, err == nil, now)
 	}
 	c.logOrder(t, err, now.Sub(began), changed)
 	if fault.Is(err, fault.Conflict) && !t.release {
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -108,7 +108,7 @@
 				events.TakeoverFailed.Log(c.config.Logger).Uint64("term", record.Term).Str("reason", why).Err(err).Send()
 				return
 			}
-			c.lead = newLeadership(record, version, formerEnded, c.view, time.Now())
+			c.lead = newLeadership(record, version, formerEnded, c.view, c.hold(), time.Now())
 			c.lead.confirmedAt, c.lead.tickedAt = began, c.config.Uptime()
 			c.beginLeading(why, former)
 		})
@@ -117,9 +117,9 @@
 
 // newLeadership returns the state of a leader that has just been written into the
 // record. formerEnded is set if no former leader can act any more.
-func newLeadership(record fleet.Record, revision int64, formerEnded bool, view *fleet.View, now time.Time) *leadership {
+func newLeadership(record fleet.Record, revision int64, formerEnded bool, view *fleet.View, hold time.Duration, now time.Time) *leadership {
 	l := &leadership{
-		record: record, revision: revision, writes: record.Write, keeper: newKeeper(record.Slices),
+		record: record, revision: revision, writes: record.Write, keeper: newKeeper(record.Slices, hold),
 		members: map[string]*member{}, parts: newParts(),
 		since: now, storeHeardAt: now, touchAt: now.Add(touchEvery),
 	}
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -35,7 +35,7 @@
 		c.report(now)
 	}
 	silent := now.Sub(c.heardAt)
-	if silent < silentAfter && !c.yielding && !c.leaderEnded {
+	if silent < silentAfter && !c.yielding {
 		if c.observer.Watching() {
 			c.observer.Stop()
 		}
@@ -96,7 +96,7 @@
 	view.Term = state.Term
 	view.Leader = fleet.Member{VM: state.Leader.Vm, Incarnation: state.Leader.Incarnation, Address: state.Leader.Address}
 	c.heard(now)
-	c.yielding, c.leaderEnded = state.StoreLost || state.Leaving, false
+	c.yielding = state.StoreLost || state.Leaving
 	if changed {
 		c.takeParts(&view, state, now)
 		c.publish(&view)
@@ -142,7 +142,7 @@
 // look reads the record and decides whether to follow or to take over.
 func (c *Coordinator) look(now time.Time, silent time.Duration) {
 	c.looking = true
-	known, leader, yielding, ended := c.view, c.view.Leader, c.yielding, c.leaderEnded
+	known, leader, yielding := c.view, c.view.Leader, c.yielding
 	others := c.others(leader)
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, lookMax)
@@ -158,10 +158,10 @@
 		e := evidence{known: len(others), silentFor: silent}
 		if record != nil && record.Term == known.Term && record.Leader.Incarnation == leader.Incarnation {
 			// What this VM heard is of the leader that the record still names.
-			e.yielding, e.ended = yielding, ended
+			e.yielding = yielding
 			e.asked, e.deaf = c.ask(others, known.Term)
 		}
-		if record != nil && !e.ended {
+		if record != nil {
 			e.ended = c.ended(record.Leader)
 		}
 		c.config.Loop.Post(func() { c.looked(record, object.Version, err, e) })
@@ -276,7 +276,7 @@
 func (c *Coordinator) follow(record *fleet.Record, now time.Time) {
 	view := *c.view
 	view.Term, view.Leader = record.Term, record.Leader
-	c.yielding, c.leaderEnded = false, false
+	c.yielding = false
 	if c.heardAt.Before(now.Add(-silentAfter)) {
 		// The new leader gets the time of a silent one to answer.
 		c.heardAt = now.Add(-silentAfter / 2)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -57,7 +57,7 @@
 
 // Settings are what a gateway needs to know of its VM and deployment.
 type Settings struct {
-	VM, FailureDomain, Region string
+	VM, FailureDomain string
 	// Listening addresses, as host:port.
 	Callers, Ready, Peers, Metrics string
 	// Deployment must be the same on all VMs.
@@ -171,8 +171,13 @@
 func (g *Gateway) hears(string) bool { return g.coordinator.HearsLeader() }
 
 func (g *Gateway) publish(view *fleet.View) {
-	g.view.Store(view)
+	former := g.view.Swap(view)
 	g.desk.Update(view)
+	for vm := range former.Members {
+		if _, known := view.Members[vm]; !known {
+			g.desk.Forget(vm)
+		}
+	}
 	g.pools.Update(view)
 }
 
--- a/internal/testutil/platformstub/platformstub.go
+++ b/internal/testutil/platformstub/platformstub.go
@@ -21,8 +21,6 @@
 type Faults struct {
 	// Status refuses every call with it: 503 or 429.
 	Status int `json:"status,omitempty"`
-	// Refuse refuses the callers whose remote address begins with one of these.
-	Refuse []string `json:"refuse,omitempty"`
 	// Silent answers nothing.
 	Silent bool `json:"silent,omitempty"`
 	// DelayMillis delays every call before it takes effect.
@@ -194,12 +192,6 @@
 
 // misbehave applies faults and reports whether the call goes on.
 func (s *Stub) misbehave(w http.ResponseWriter, r *http.Request, f Faults) bool {
-	for _, prefix := range f.Refuse {
-		if strings.HasPrefix(r.RemoteAddr, prefix) {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return false
-		}
-	}
 	if f.Silent {
 		// Only a read of the whole request lets the server notice its end.
 		_, _ = io.Copy(io.Discard, r.Body)
