--- /dev/null
+++ b/internal/process/coordinator/push.go
@@ -0,0 +1,167 @@
+package coordinator
+
+import (
+	"encoding/json"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+// member is what the leader knows of another VM.
+type member struct {
+	fleet.Member
+	heardAt time.Time
+	// followedAt is the uptime at which the VM last said that it follows this one.
+	followedAt time.Duration
+	term       uint64
+	leaving    bool
+	// sent are the versions that were last sent, at sentAt; nil until the VM has
+	// said what it has. detailsAt is when owners of keys or VMs were last sent.
+	sent      *peerv1.PartVersions
+	sentAt    time.Time
+	detailsAt time.Time
+}
+
+// pushWithin passes changes on after a pause, together with those that follow.
+func (c *Coordinator) pushWithin(pause time.Duration) {
+	at := time.Now().Add(pause)
+	if c.lead.pushAt.IsZero() || at.Before(c.lead.pushAt) {
+		c.lead.pushAt = at
+		time.AfterFunc(pause, func() { c.config.Loop.Post(c.pushPending) })
+	}
+}
+
+// pushPending passes changes on whose pause is over.
+func (c *Coordinator) pushPending() {
+	if l := c.lead; l != nil && !l.pushAt.IsZero() && !time.Now().Before(l.pushAt) {
+		c.pushAll()
+	}
+}
+
+// brokers names the VM that gives out the permits of each service.
+func (c *Coordinator) brokers(config *fleet.Config) map[string]string {
+	brokers := map[string]string{}
+	if config == nil {
+		return brokers
+	}
+	for _, service := range config.Services {
+		brokers[service.Name] = c.config.Self.VM
+	}
+	return brokers
+}
+
+func encodeConfig(config *fleet.Config) []byte {
+	encoded, err := json.Marshal(config)
+	if err != nil {
+		// All fields are plain values.
+		panic(err)
+	}
+	return encoded
+}
+
+// pushAll sends every VM what it lacks.
+func (c *Coordinator) pushAll() {
+	c.lead.pushAt = time.Time{}
+	for _, m := range c.lead.members {
+		c.push(m, time.Now())
+	}
+}
+
+// push sends a VM a heartbeat and the parts that it lacks.
+func (c *Coordinator) push(m *member, now time.Time) {
+	l := c.lead
+	state := &peerv1.FleetState{
+		Term: l.record.Term, Leader: identity(c.config.Self), Versions: l.parts.versions(),
+		StoreLost: l.storeLost, Leaving: c.leaving,
+	}
+	if m.sent != nil {
+		c.addParts(state, m, now)
+	}
+	c.config.Sender.Send(m.VM, &peerv1.Control{Kind: &peerv1.Control_FleetState{FleetState: state}})
+}
+
+// addParts adds the parts to a state that a VM lacks.
+func (c *Coordinator) addParts(state *peerv1.FleetState, m *member, now time.Time) {
+	p := c.lead.parts
+	if m.sent.Config < p.digests.Config {
+		state.Config, m.sent.Config, m.sentAt = p.config, p.digests.Config, now
+	}
+	if m.sent.Targets != p.digests.Targets {
+		state.Targets = p.targetList(m.sent.Targets, now)
+		m.sent.Targets, m.sentAt = p.digests.Targets, now
+	}
+	if now.Sub(m.detailsAt) < c.detailPause() {
+		return
+	}
+	if p.slices != nil && m.sent.Slices != p.digests.Slices {
+		state.Slices, m.sent.Slices, m.sentAt, m.detailsAt = p.slices, p.digests.Slices, now, now
+	}
+	if m.sent.Members != p.digests.Members {
+		state.Members, m.sent.Members, m.sentAt, m.detailsAt = p.members, p.digests.Members, now, now
+	}
+}
+
+func (c *Coordinator) detailPause() time.Duration {
+	if len(c.lead.members) > largeFleet {
+		return largePause
+	}
+	return detailPause
+}
+
+// handleReport takes in a VM's report and answers with what it lacks.
+func (c *Coordinator) handleReport(from peer.Peer, report *peerv1.MemberReport) {
+	l := c.lead
+	if l == nil {
+		return
+	}
+	now := time.Now()
+	if report.Term > l.record.Term {
+		c.stepDown("a VM knows a higher term")
+		return
+	}
+	m := l.members[from.VM]
+	if m == nil || m.Incarnation != from.Incarnation {
+		m = &member{Member: fleet.Member{VM: from.VM, Incarnation: from.Incarnation, Address: report.Address}}
+		l.members[from.VM] = m
+		c.membersChanged()
+	}
+	m.heardAt, m.followedAt, m.term, m.leaving = now, c.config.Uptime(), report.Term, report.Leaving
+	if m.sent == nil || now.Sub(m.sentAt) > resendAfter {
+		m.sent = &peerv1.PartVersions{}
+		if report.Have != nil {
+			m.sent = proto.Clone(report.Have).(*peerv1.PartVersions)
+		}
+	}
+	c.push(m, now)
+}
+
+// membersChanged publishes the VMs that the leader knows.
+func (c *Coordinator) membersChanged() {
+	l := c.lead
+	view := *c.view
+	view.Members = map[string]fleet.Member{c.config.Self.VM: c.config.Self}
+	for name, m := range l.members {
+		view.Members[name] = m.Member
+	}
+	l.parts.setMembers(view.Members, view.Brokers)
+	c.publish(&view)
+}
+
+func (c *Coordinator) dropMembers(now time.Time) {
+	dropped := false
+	for name, m := range c.lead.members {
+		if now.Sub(m.heardAt) > memberGone {
+			delete(c.lead.members, name)
+			dropped = true
+			events.MemberLost.Log(c.config.Logger).Str("vm", name).Dur("silent", now.Sub(m.heardAt)).Send()
+		}
+	}
+	if dropped {
+		c.membersChanged()
+	}
+}
--- /dev/null
+++ b/internal/process/coordinator/record.go
@@ -0,0 +1,176 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"time"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+// noteStall notices that this VM has been stopped for a while.
+func (c *Coordinator) noteStall() {
+	l := c.lead
+	now := c.config.Uptime()
+	if l.tickedAt != 0 && now-l.tickedAt > stall {
+		l.stalledAt = now
+		l.touchAt = time.Time{}
+		events.LeaderStalled.Log(c.config.Logger).Uint64("term", l.record.Term).Dur("stopped", now-l.tickedAt).Send()
+	}
+	l.tickedAt = now
+}
+
+// mayAct reports whether this VM is known to lead: the store or a majority of
+// the VMs has said so lately, and since it was last stopped.
+func (c *Coordinator) mayAct() bool {
+	l := c.lead
+	now := c.config.Uptime()
+	if now-l.tickedAt > stall || l.stalledAt != 0 && now-l.stalledAt < afterStall {
+		return false
+	}
+	return now-l.confirmedAt < authority && l.confirmedAt >= l.stalledAt || c.majority()
+}
+
+// majority reports whether most VMs follow this one. A VM follows one leader at
+// a time and never goes back to a lower term.
+func (c *Coordinator) majority() bool {
+	l := c.lead
+	now := c.config.Uptime()
+	following := 1
+	for _, m := range l.members {
+		if m.term == l.record.Term && now-m.followedAt < authority && m.followedAt >= l.stalledAt+afterStall/2 {
+			following++
+		}
+	}
+	return len(l.members) > 0 && 2*following > len(l.members)+1
+}
+
+// supersede notes when no former leader can act any more: most VMs follow this
+// one, or there are no others.
+func (c *Coordinator) supersede(now time.Time) {
+	l := c.lead
+	if l.superseded || !c.majority() && len(l.members) > 0 {
+		return
+	}
+	l.superseded = true
+	l.keeper.formerEnded(now.Add(authority))
+}
+
+// noteStore tells the others when the store is lost or regained.
+func (c *Coordinator) noteStore(now time.Time) {
+	l := c.lead
+	lost := now.Sub(l.storeHeardAt) > storeLostAfter
+	if lost == l.storeLost {
+		return
+	}
+	l.storeLost = lost
+	events.StoreReach.Log(c.config.Logger).Bool("lost", lost).Dur("silent", now.Sub(l.storeHeardAt)).Send()
+	c.pushAll()
+}
+
+// touch writes the record unchanged, but for the number of the write.
+func (c *Coordinator) touch(now time.Time) {
+	l := c.lead
+	if l.writing || now.Before(l.touchAt) {
+		return
+	}
+	c.write(l.record, func(err error) {
+		if err != nil {
+			l.touchAt = time.Now().Add(touchRetry)
+		}
+	})
+}
+
+// write writes the leader's record and calls done on the loop while it leads.
+func (c *Coordinator) write(record fleet.Record, done func(error)) {
+	l := c.lead
+	l.writing = true
+	l.writes++
+	record.Write = l.writes
+	revision := l.revision
+	began := c.config.Uptime()
+	go func() {
+		version, err := c.writeRecord(&record, revision)
+		c.config.Loop.Post(func() {
+			if c.lead != l {
+				return
+			}
+			l.writing = false
+			l.storeContact(err, time.Now())
+			if fault.Is(err, fault.Conflict) {
+				c.stepDown("the record has been changed by another VM")
+				return
+			}
+			if err == nil {
+				l.record, l.revision, l.confirmedAt = record, version, began
+				l.touchAt = time.Now().Add(touchEvery)
+			}
+			done(err)
+		})
+	}()
+}
+
+// storeContact notes the result of a call to the store.
+func (l *leadership) storeContact(err error, now time.Time) {
+	if err == nil || fault.Is(err, fault.Conflict) || fault.Is(err, fault.NotFound) {
+		l.storeHeardAt = now
+	}
+}
+
+// writeRecord writes the record and resolves lost answers. A write without an
+// answer may still take effect later, so it is repeated until the store answers
+// or the object has moved on.
+func (c *Coordinator) writeRecord(record *fleet.Record, revision int64) (int64, error) {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return 0, err
+	}
+	for unknown := false; ; time.Sleep(writeRetry) {
+		ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
+		version, err := c.config.Store.Put(ctx, c.config.RecordName, value, revision)
+		cancel()
+		if err == nil || c.ctx.Err() != nil {
+			return version, err
+		}
+		if fault.Is(err, fault.Conflict) {
+			return c.readBack(record, err)
+		}
+		unknown = unknown || fault.Is(err, fault.UnknownOutcome)
+		if !unknown {
+			return 0, err
+		}
+	}
+}
+
+// readBack finds out whether a write that was refused had taken effect before.
+func (c *Coordinator) readBack(record *fleet.Record, refused error) (int64, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
+	defer cancel()
+	object, err := c.config.Store.Get(ctx, c.config.RecordName)
+	if err != nil {
+		return 0, fault.Wrap(err, fault.UnknownOutcome, "read the record again", "the record cannot be read back")
+	}
+	var found fleet.Record
+	if err := json.Unmarshal(object.Value, &found); err != nil {
+		return 0, fault.Wrap(err, fault.Invalid, "delete the object", "the record in the store cannot be read")
+	}
+	if found.Leader.Incarnation == record.Leader.Incarnation && found.Term == record.Term && found.Write == record.Write {
+		return object.Version, nil
+	}
+	return 0, refused
+}
+
+// next returns the record with changed slices of one service.
+func (l *leadership) next(service string, list []fleet.Slice, lastFence uint64) fleet.Record {
+	record := l.record
+	record.LastFence = lastFence
+	record.Slices = maps.Clone(record.Slices)
+	if record.Slices == nil {
+		record.Slices = map[string][]fleet.Slice{}
+	}
+	record.Slices[service] = list
+	return record
+}
--- a/internal/request/admission/pool.go
+++ b/internal/request/admission/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
@@ -153,24 +152,6 @@
 	p.waiting[r.ID] = q
 }
 
-// classWork returns the mean work of a class in seconds; aim is used until it
-// has been measured.
-func (p *pool) classWork(class string, aim time.Duration) float64 {
-	work := p.work[class]
-	if work == 0 && aim > 0 {
-		work = workPrior * aim.Seconds()
-		p.work[class] = work
-	}
-	return work
-}
-
-// takes returns the expected time of a request at a target.
-func (p *pool) takes(r *Request, t *target, now time.Time) time.Duration {
-	work := p.classWork(r.Class, r.Aim.Sub(r.arrived))
-	crowded := 1 + crowding*float64(t.running)/float64(max(t.Slots, 1))
-	return seconds(work*t.relativeTime(now)*crowded) + transit
-}
-
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
 
 // ask decides a request or queues it.
@@ -206,114 +187,6 @@
 	p.dispatch(q, now)
 }
 
-// setLocal keeps a large request in its own failure domain for a while.
-func (p *pool) setLocal(r *Request, now time.Time) {
-	if !r.Large || p.service.Keyed {
-		return
-	}
-	work := seconds(p.classWork(r.Class, r.Aim.Sub(now)))
-	spare := r.Aim.Sub(now) - work
-	if spare <= 0 {
-		return
-	}
-	for _, t := range p.targets {
-		if t.usable && t.FailureDomain == r.Domain && !t.refused && now.After(t.pausedUntil) {
-			r.localUntil = now.Add(time.Duration(localShare * float64(spare)))
-			return
-		}
-	}
-}
-
-// anyTarget reports whether any target could serve the request at some time.
-func (p *pool) anyTarget(r *Request) bool {
-	if p.service.Keyed {
-		return p.ownerID(r.Key) != ""
-	}
-	for _, t := range p.targets {
-		if t.usable {
-			return true
-		}
-	}
-	return false
-}
-
-// open reports whether the target may start a request now.
-func (p *pool) open(t *target, now time.Time) bool {
-	if !t.usable || t.running >= t.Slots || now.Before(t.pausedUntil) {
-		return false
-	}
-	if !t.cold(now) {
-		return true
-	}
-	return !p.broker.config.Cautious && !t.coldRoom(p.coldLimit(), now).After(now)
-}
-
-// coldLimit is the number of starts at a cold target within coldWindow.
-func (p *pool) coldLimit() int {
-	allowed := p.service.ColdRate*p.broker.config.ColdFactor + p.broker.config.ColdAllowance
-	return max(int(coldShare*min(allowed, p.service.ColdRate*p.broker.config.ColdFactor)), 1)
-}
-
-// choose returns the target for a request that would run now, or nil.
-func (p *pool) choose(r *Request, now time.Time) *target {
-	if p.service.Keyed {
-		if t := p.owner(r.Key); t != nil && p.open(t, now) {
-			return t
-		}
-		return nil
-	}
-	var best *target
-	var bestCost time.Duration
-	for _, t := range p.targets {
-		if !p.open(t, now) || !p.fits(r, t, now) {
-			continue
-		}
-		if cost := p.cost(r, t, now); best == nil || cost < bestCost {
-			best, bestCost = t, cost
-		}
-	}
-	if best != nil && !p.worthwhile(r, best, now) {
-		return nil
-	}
-	return best
-}
-
-// fits reports whether a request may go to a target at all.
-func (p *pool) fits(r *Request, t *target, now time.Time) bool {
-	if slices.Contains(r.Exclude, t.ID) {
-		return false
-	}
-	return t.FailureDomain == r.Domain || !now.Before(r.localUntil)
-}
-
-// cost ranks the targets for a request.
-func (p *pool) cost(r *Request, t *target, now time.Time) time.Duration {
-	cost := time.Duration(float64(p.takes(r, t, now)) * (1 + failurePenalty*t.failures))
-	if t.FailureDomain != r.Domain {
-		cost += crossDomain
-	}
-	if !t.connected(r.ID.VM, now) {
-		cost += connecting
-	}
-	return cost
-}
-
-// worthwhile reports whether a request should run at a target now, rather than
-// wait for a quicker one: it is if it meets its aim there, or if no target that
-// is in use would meet it.
-func (p *pool) worthwhile(r *Request, t *target, now time.Time) bool {
-	if !now.Add(p.takes(r, t, now)).After(r.Aim) {
-		return true
-	}
-	for _, other := range p.targets {
-		if other != t && other.usable && now.After(other.pausedUntil) && p.fits(r, other, now) &&
-			!now.Add(p.takes(r, other, now)).After(r.Aim) {
-			return false
-		}
-	}
-	return !now.Add(p.takes(r, t, now)).After(r.Deadline)
-}
-
 // permit lets a request run.
 func (p *pool) permit(r *Request, t *target, now time.Time) {
 	t.running++
@@ -336,52 +209,6 @@
 	p.broker.config.Decide(Decision{ID: r.ID, Refused: reason, RetryAfter: after, Waited: now.Sub(r.arrived)})
 }
 
-// capacity returns the slots of the targets behind a queue and the mean time
-// that one request holds a slot.
-func (p *pool) capacity(q *queue, r *Request, now time.Time) (slots int, each time.Duration) {
-	if p.service.Keyed {
-		t := p.targets[p.ownerID(r.Key)]
-		if t == nil || !t.usable {
-			return 0, 0
-		}
-		return t.Slots, p.takes(r, t, now)
-	}
-	rate := 0.0
-	for _, t := range p.targets {
-		if t.usable && now.After(t.pausedUntil) {
-			slots += t.Slots
-			rate += float64(t.Slots) / p.takes(r, t, now).Seconds()
-		}
-	}
-	if slots == 0 {
-		return 0, 0
-	}
-	return slots, seconds(float64(slots) / rate)
-}
-
-// servable reports whether a request that must wait can be answered before its
-// deadline, and how long it would wait.
-func (p *pool) servable(q *queue, r *Request, now time.Time) (time.Duration, bool) {
-	slots, each := p.capacity(q, r, now)
-	if slots == 0 {
-		// The keys are on their way to another owner, or the targets are: most
-		// moves take less than the time of one request.
-		return seconds(p.classWork(r.Class, r.Aim.Sub(now))), p.service.Keyed && p.anyTarget(r)
-	}
-	perRequest := time.Duration(float64(each) / float64(slots))
-	wait := time.Duration(q.position(r))*perRequest + perRequest/2
-	if !now.Add(wait + each).After(r.Aim) {
-		return wait, true
-	}
-	q.fade(now)
-	utilisation := q.demand / (float64(slots) * p.classWork(r.Class, 0) / (each - transit).Seconds())
-	if utilisation >= overload {
-		return wait, false
-	}
-	wait = time.Duration(float64(time.Duration(len(q.waiters)+1)*perRequest) / (1 - utilisation))
-	return wait, !now.Add(wait + each).After(r.Deadline)
-}
-
 // dispatch lets waiting requests run while there are free slots.
 func (p *pool) dispatch(q *queue, now time.Time) {
 	for len(q.waiters) > 0 {
--- /dev/null
+++ b/tests/soak/soak_test.go
@@ -0,0 +1,312 @@
+// Package soak_test runs real daemons as processes under random faults and
+// checks, from what callers and servers see, what must always hold.
+//
+//	go test ./tests/soak                        one short seed, as in CI
+//	go test ./tests/soak -args -seeds 50 -from 1 -faults 30
+package soak_test
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/cluster"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/deployment"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/faultproxy"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/fencetarget"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/platformstub"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/seed"
+)
+
+var (
+	seeds  = flag.Uint64("seeds", 1, "number of seeds")
+	from   = flag.Uint64("from", seed.Value, "first seed")
+	faults = flag.Int("faults", 10, "number of faults of a seed")
+)
+
+func TestMain(m *testing.M) { cluster.Main(m) }
+
+const (
+	vms, servers = 4, 4
+	startBound   = 20 * time.Second
+	// recoverBound is the time after the last fault within which everything is
+	// served again.
+	recoverBound = 15 * time.Second
+	// ownerBound is the longest time for which two live servers may hold a key.
+	ownerBound = 500 * time.Millisecond
+)
+
+func TestSoak(t *testing.T) {
+	for i := range *seeds {
+		t.Run(fmt.Sprint(*from+i), func(t *testing.T) { soak(t, *from+i) })
+	}
+}
+
+// run is one seed.
+type run struct {
+	t       *testing.T
+	random  *rand.Rand
+	d       *deployment.Deployment
+	started time.Time
+	stop    chan struct{}
+	done    sync.WaitGroup
+
+	mu      sync.Mutex
+	results []sent
+	// all are the servers of all lives.
+	all []*deployment.Target
+	// thawed is when a process last went on after a freeze; grants that it had
+	// under way arrive then.
+	thawed time.Time
+	// busy are the processes and links with a fault under way; a second fault
+	// goes to another one.
+	busy map[string]bool
+}
+
+type sent struct {
+	deployment.Result
+	once bool
+}
+
+func soak(t *testing.T, seed uint64) {
+	r := &run{t: t, random: rand.New(rand.NewPCG(seed, 3)), d: deployment.New(t), started: time.Now(), stop: make(chan struct{}), busy: map[string]bool{}}
+	for i := range servers {
+		r.addServer(fmt.Sprintf("free-%d", i), "free")
+		r.addServer(fmt.Sprintf("keyed-%d", i), "keyed")
+	}
+	for range vms {
+		r.d.AddVM()
+	}
+	r.d.WaitReady(startBound)
+	for _, vm := range r.d.VMs {
+		for _, path := range []string{"/read/x", "/once/x", "/keyed/x"} {
+			r.done.Go(func() { r.traffic(vm, path) })
+		}
+	}
+	r.done.Go(r.watchOwners)
+	for range *faults {
+		r.fault()
+		time.Sleep(time.Duration(100+r.random.IntN(1200)) * time.Millisecond)
+	}
+	r.heal()
+	r.checkRecovery()
+	close(r.stop)
+	r.done.Wait()
+	r.checkResults()
+}
+
+func (r *run) addServer(id, service string) {
+	server := r.d.AddTarget(id, service, fencetarget.Settings{Work: 15 * time.Millisecond, Slots: 4})
+	r.mu.Lock()
+	r.all = append(r.all, server)
+	r.mu.Unlock()
+}
+
+func (r *run) log(format string, args ...any) {
+	r.t.Logf("%6.2f s  %s", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// traffic sends requests to a VM on kept connections until the end.
+func (r *run) traffic(vm *deployment.VM, path string) {
+	caller := vm.Caller()
+	defer caller.Close()
+	once := strings.HasPrefix(path, "/once/")
+	for key := 0; ; key++ {
+		select {
+		case <-r.stop:
+			return
+		case <-time.After(25 * time.Millisecond):
+		}
+		method, body := http.MethodGet, io.Reader(nil)
+		if once {
+			method, body = http.MethodPost, strings.NewReader("body")
+		}
+		result := caller.Send(r.t.Context(), method, path, key*deployment.KeyStep%65536, body)
+		r.mu.Lock()
+		r.results = append(r.results, sent{result, once})
+		r.mu.Unlock()
+	}
+}
+
+// watchOwners looks for keys that two live servers hold.
+func (r *run) watchOwners() {
+	since := map[int]time.Time{}
+	for {
+		select {
+		case <-r.stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		for key := 0; key < 65536; key += deployment.KeyStep {
+			if r.d.Holders(key) < 2 {
+				delete(since, key)
+				continue
+			}
+			if since[key].IsZero() {
+				since[key] = time.Now()
+			}
+			if held := time.Since(since[key]); held > ownerBound && !r.justThawed(since[key]) {
+				r.t.Errorf("%.2f s: key %d has two owners for %s", time.Since(r.started).Seconds(), key, held)
+				since[key] = time.Now().Add(time.Hour)
+			}
+		}
+	}
+}
+
+// thawAllowance is how long after a freeze grants may arrive that were under way.
+const thawAllowance = 300 * time.Millisecond
+
+func (r *run) justThawed(at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return at.Sub(r.thawed) > 0 && at.Sub(r.thawed) < thawAllowance
+}
+
+// fault causes one fault; it ends on its own, so that faults overlap.
+func (r *run) fault() {
+	vm := r.d.VMs[r.random.IntN(vms)]
+	if leader := r.d.Leader(); leader != nil && r.random.IntN(2) == 0 {
+		vm = leader
+	}
+	id := fmt.Sprintf("%s-%d", []string{"free", "keyed"}[r.random.IntN(2)], r.random.IntN(servers))
+	server := r.d.Target(id)
+	lasts := time.Duration(300+r.random.IntN(3500)) * time.Millisecond
+	kind := r.random.IntN(12)
+	on := []string{vm.Name, "store of " + vm.Name, "store", id, "entry of " + id}[[]int{0, 0, 0, 0, 1, 1, 1, 2, 3, 3, 4, 4}[kind]]
+	if !r.claim(on) {
+		return
+	}
+	r.log("fault %d: %s, %s", kind, on, lasts)
+	end := func(wait time.Duration, do func()) { r.after(wait, func() { do(); r.release(on) }) }
+	switch kind {
+	case 0:
+		vm.Kill()
+		end(lasts/4, vm.Start)
+	case 1:
+		vm.Freeze()
+		end(lasts, func() {
+			r.mu.Lock()
+			r.thawed = time.Now()
+			r.mu.Unlock()
+			vm.Thaw()
+		})
+	case 2:
+		vm.Signal(syscall.SIGTERM)
+		end(6*time.Second, func() { vm.Kill(); vm.Start() })
+	case 3:
+		vm.Signal(syscall.SIGHUP)
+		end(0, func() {})
+	case 4:
+		vm.Store.CutBoth()
+		end(lasts, vm.Store.Heal)
+	case 5:
+		vm.Store.Cut(faultproxy.ToClient)
+		end(lasts, vm.Store.Heal)
+	case 6:
+		vm.Store.Delay(faultproxy.ToServer, 200*time.Millisecond)
+		end(lasts, vm.Store.Heal)
+	case 7:
+		r.d.Store.SetFaults([]platformstub.Faults{
+			{Status: 503}, {Status: 429}, {Silent: true}, {LoseAnswers: 3, LateMillis: 1500}, {MuteWatches: true},
+		}[r.random.IntN(5)])
+		end(lasts, func() { r.d.Store.SetFaults(platformstub.Faults{}) })
+	case 8:
+		server.Link.CutBoth()
+		end(lasts, server.Link.Heal)
+	case 9:
+		server.Link.ResetAfter(faultproxy.ToClient, int64(r.random.IntN(2000)))
+		end(lasts, server.Link.Heal)
+	case 10:
+		r.d.Register(id, "draining")
+		end(lasts, func() { r.d.Register(id, "in_service") })
+	case 11:
+		r.d.Store.Remove("servers", id)
+		end(lasts, func() { r.d.Register(id, "in_service") })
+	}
+}
+
+// claim reports whether a process or link has no fault under way.
+func (r *run) claim(on string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy[on] {
+		return false
+	}
+	r.busy[on] = true
+	return true
+}
+
+func (r *run) release(on string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.busy, on)
+}
+
+// after runs something later; the end of the seed waits for it.
+func (r *run) after(wait time.Duration, do func()) {
+	r.done.Go(func() {
+		time.Sleep(wait)
+		do()
+	})
+}
+
+// heal waits until the last fault has ended.
+func (r *run) heal() {
+	time.Sleep(7 * time.Second)
+	r.d.Store.SetFaults(platformstub.Faults{})
+}
+
+// checkRecovery waits until every VM serves every kind of request.
+func (r *run) checkRecovery() {
+	began := time.Now()
+	for _, vm := range r.d.VMs {
+		caller := vm.Caller()
+		for key := 0; key < 65536; key += 8 * deployment.KeyStep {
+			for _, path := range []string{"/read/x", "/keyed/x"} {
+				for !caller.Send(r.t.Context(), http.MethodGet, path, key, nil).Whole {
+					if time.Since(began) > recoverBound {
+						r.t.Errorf("%s does not serve %s with key %d again", vm.Name, path, key)
+						return
+					}
+					time.Sleep(30 * time.Millisecond)
+				}
+			}
+		}
+		caller.Close()
+	}
+}
+
+// checkResults compares what callers got with what servers ran.
+func (r *run) checkResults() {
+	runs := map[string]int{}
+	for _, server := range r.all {
+		for _, one := range server.Runs() {
+			runs[one.Attempt]++
+		}
+	}
+	served := 0
+	for _, one := range r.results {
+		switch {
+		case one.Status == http.StatusOK && one.Err == nil && !one.Whole:
+			r.t.Errorf("%s got a success that is not the server's answer", one.Attempt)
+		case one.once && runs[one.Attempt] > 1:
+			r.t.Errorf("%s ran %d times", one.Attempt, runs[one.Attempt])
+		case one.once && one.Status == http.StatusServiceUnavailable && runs[one.Attempt] > 0:
+			r.t.Errorf("%s was refused as not run, and ran", one.Attempt)
+		}
+		if one.Whole {
+			served++
+		}
+	}
+	r.log("%d of %d requests served", served, len(r.results))
+	assert.Assert(r.t, served > 0)
+}
