Never wait for the log's output

Cause: a full buffer was written to standard output under the lock that every line takes, so a reader that stalls would have held up requests.

TestStuckOutputHoldsNobodyUp plays a stuck output; with the former writer it waits for ever.

--- a/internal/process/daemon/log_test.go
+++ b/internal/process/daemon/log_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -17,3 +18,39 @@
 	assert.NilError(t, writer.Close())
 	assert.Equal(t, out.String(), "line\nline\nline\n")
 }
+
+// stuck is an output that takes nothing until it is released.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+// TestStuckOutputHoldsNobodyUp: lines beyond the bound are dropped and counted.
+func TestStuckOutputHoldsNobodyUp(t *testing.T) {
+	out := stuck{make(chan struct{})}
+	writer := NewLogWriter(out)
+	line := bytes.Repeat([]byte("x"), 1<<10)
+	done := make(chan struct{})
+	go func() {
+		for range 4 * logBufferBytes / len(line) {
+			_, _ = writer.Write(line)
+		}
+		time.Sleep(2 * logFlushInterval)
+		for range 4 * logBufferBytes / len(line) {
+			_, _ = writer.Write(line)
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("a writer waited for the output")
+	}
+	writer.mu.Lock()
+	assert.Assert(t, writer.dropped > 0 && len(writer.pending) <= logBufferBytes)
+	writer.mu.Unlock()
+	close(out.release)
+	assert.NilError(t, writer.Close())
+}
--- a/internal/process/events/process.go
+++ b/internal/process/events/process.go
@@ -4,7 +4,8 @@
 
 // Events of the process itself.
 var (
-	DaemonStarted  = register(1001, "daemon-started", zerolog.InfoLevel, "The daemon has read its settings and opened its listeners.")
-	DaemonStopping = register(1002, "daemon-stopping", zerolog.InfoLevel, "A graceful stop has begun; the VM takes no new work.")
-	DaemonStopped  = register(1003, "daemon-stopped", zerolog.InfoLevel, "The last request in flight has ended and the daemon exits.")
+	DaemonStarted   = register(1001, "daemon-started", zerolog.InfoLevel, "The daemon has read its settings and opened its listeners.")
+	DaemonStopping  = register(1002, "daemon-stopping", zerolog.InfoLevel, "A graceful stop has begun; the VM takes no new work.")
+	DaemonStopped   = register(1003, "daemon-stopped", zerolog.InfoLevel, "The last request in flight has ended and the daemon exits.")
+	LogLinesDropped = register(1004, "log-lines-dropped", zerolog.WarnLevel, "The log's output did not take lines fast enough; so many were dropped since the last line of this kind.")
 )
