--- a/internal/process/coordinator/keeper.go
+++ b/internal/process/coordinator/keeper.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -95,7 +96,9 @@
 	k := &keeper{
 		hold:   hold,
 		slices: map[string][]fleet.Slice{}, mayHoldUntil: map[fleet.Life]time.Time{},
-		handovers: map[uint64]string{}, refusals: map[fleet.Life]int{}, gone: map[fleet.Life]bool{}, underWay: map[fleet.Life]int{}, late: map[fleet.Life]bool{}, ordering: map[order]bool{}, retryAt: map[order]time.Time{},
+		handovers: map[uint64]string{}, refusals: map[fleet.Life]int{}, gone: map[fleet.Life]bool{},
+		underWay: map[fleet.Life]int{}, late: map[fleet.Life]bool{},
+		ordering: map[order]bool{}, retryAt: map[order]time.Time{},
 		renewAt: map[sliceID]time.Time{}, readySince: map[sliceID]time.Time{},
 	}
 	for service, list := range slices {
@@ -105,9 +108,25 @@
 }
 
 // replace takes in the slices of a service after a write of the record.
-// Handovers belong to a fence, so those of slices that are gone are dropped.
 func (k *keeper) replace(service string, list []fleet.Slice) {
 	k.slices[service] = append([]fleet.Slice(nil), list...)
+	k.forgetFormer()
+}
+
+// forgetFormer drops what was kept of slices that are no more.
+func (k *keeper) forgetFormer() {
+	present := map[sliceID]bool{}
+	fences := map[uint64]bool{}
+	for _, list := range k.slices {
+		for i := range list {
+			present[idOf(&list[i])] = true
+			fences[list[i].Fence] = true
+		}
+	}
+	maps.DeleteFunc(k.handovers, func(fence uint64, _ string) bool { return !fences[fence] })
+	maps.DeleteFunc(k.renewAt, func(id sliceID, _ time.Time) bool { return !present[id] })
+	maps.DeleteFunc(k.readySince, func(id sliceID, _ time.Time) bool { return !present[id] })
+	maps.DeleteFunc(k.retryAt, func(o order, _ time.Time) bool { return !present[sliceID{o.fence, o.first}] })
 }
 
 // adopt counts slices as ready that another leader has called so, until the
--- a/internal/process/coordinator/parts_test.go
+++ b/internal/process/coordinator/parts_test.go
@@ -98,3 +98,21 @@
 		assert.Equal(t, may, c.may, "%s: %s", name, why)
 	}
 }
+
+// TestKeeperForgetsFormerSlices: what is kept of a slice ends with it.
+func TestKeeperForgetsFormerSlices(t *testing.T) {
+	now := time.Now()
+	life := fleet.Life{ID: "t", Born: 1}
+	k := newKeeper(nil, usualHold)
+	k.formerEnded(now.Add(-time.Minute))
+	for fence := uint64(1); fence < 100; fence++ {
+		k.replace("s", []fleet.Slice{{First: 0, Last: 65535, Owner: life, Fence: fence}})
+		k.handovers[fence] = "handover"
+		tasks := k.due(now)
+		assert.Equal(t, len(tasks), 1)
+		assert.Assert(t, k.granted(tasks[0], true, now))
+	}
+	assert.Equal(t, len(k.handovers), 1)
+	assert.Equal(t, len(k.renewAt), 1)
+	assert.Equal(t, len(k.readySince), 1)
+}
