Say once what stood twice, and drop what nothing reads

Found by reading the change again; behaviour stays as it is. - The list of headers of one connection stood three times (entry, dispatch, forward): package hopbyhop serves all. - Reading the record, giving a slice a new fence, carrying out due orders, the queue of a request, the demand of a service, the dialer with keep-alives and the end of accepting stood twice each. - A queue chose the target of a request twice; the load of a refusal was read twice; the slices were encoded at every confirmed grant and are now when sent. - Fields of messages and measurements without a reader are gone, and a hash of our own gives way to the library that the module has.

--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -97,13 +97,7 @@
 // Shutdown accepts no more connections, closes those without requests, and
 // waits until the others have got their answers or the context ends.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.mu.Lock()
-	s.stopping = true
-	listener := s.listener
-	s.mu.Unlock()
-	if listener != nil {
-		_ = listener.Close()
-	}
+	s.stopAccepting()
 	for {
 		open := s.open()
 		if len(open) == 0 {
@@ -120,6 +114,16 @@
 	}
 }
 
+func (s *Server) stopAccepting() {
+	s.mu.Lock()
+	s.stopping = true
+	listener := s.listener
+	s.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+	}
+}
+
 func (s *Server) open() []*conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -132,13 +136,7 @@
 
 // Close closes the listener and all connections at once.
 func (s *Server) Close() {
-	s.mu.Lock()
-	s.stopping = true
-	listener := s.listener
-	s.mu.Unlock()
-	if listener != nil {
-		_ = listener.Close()
-	}
+	s.stopAccepting()
 	for _, c := range s.open() {
 		c.abort()
 	}
--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -40,9 +40,9 @@
 
 // Config configures a Coordinator.
 type Config struct {
-	Self          fleet.Member
-	FailureDomain string
-	Processor     float64
+	Self fleet.Member
+	// Processor is this VM's share of a core.
+	Processor float64
 	// RecordName is the store object that holds the record.
 	RecordName string
 	Names      observer.Names
@@ -116,7 +116,6 @@
 // Leave begins the end of this VM: a leader asks the others to take over.
 func (c *Coordinator) Leave() {
 	c.leaving = true
-	c.reportAt = time.Time{}
 	if c.lead != nil {
 		c.pushAll()
 	}
--- a/internal/process/coordinator/election.go
+++ b/internal/process/coordinator/election.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
@@ -64,16 +66,7 @@
 // rankDelay is how long a VM waits before it looks for a new leader. VMs with
 // more processor come first, since a leader needs more than others.
 func rankDelay(self fleet.Member, processor float64, term uint64) time.Duration {
-	spread := time.Duration(hash(self.VM, term)%10) * rankStep / 2
+	spread := time.Duration(xxh3.HashStringSeed(self.VM, term)%10) * rankStep / 2
 	slow := time.Duration((1 - min(processor, 1)) * float64(5*rankStep))
 	return min(spread+slow, maxRankDelay)
 }
-
-// hash spreads VMs differently in each term.
-func hash(vm string, term uint64) uint64 {
-	h := uint64(14695981039346656037) ^ term
-	for i := 0; i < len(vm); i++ {
-		h = (h ^ uint64(vm[i])) * 1099511628211
-	}
-	return h >> 7
-}
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -47,7 +47,12 @@
 		l.planAt = now.Add(planEvery)
 		c.planMoves(now)
 	}
-	for _, t := range l.keeper.due(now) {
+	c.carryOutDue(now)
+}
+
+// carryOutDue sends the orders that are due.
+func (c *Coordinator) carryOutDue(now time.Time) {
+	for _, t := range c.lead.keeper.due(now) {
 		c.carryOut(t)
 	}
 }
@@ -130,9 +135,7 @@
 	l.keeper.replace(service, mergeProgress(l.record.Slices[service], l.keeper.slices[service]))
 	c.noteLives(c.view.Targets)
 	c.slicesChanged()
-	for _, t := range l.keeper.due(time.Now()) {
-		c.carryOut(t)
-	}
+	c.carryOutDue(time.Now())
 }
 
 // mergeProgress keeps what has been learnt of slices that a write did not change.
@@ -220,9 +223,7 @@
 	}
 	if changed {
 		c.slicesChanged()
-		for _, next := range k.due(now) {
-			c.carryOut(next)
-		}
+		c.carryOutDue(now)
 	}
 }
 
@@ -234,7 +235,7 @@
 	if s == nil || s.Last != t.slice.Last || l.writing {
 		return
 	}
-	c.writeMoves(t.service, l.keeper.slices[t.service], []keyspace.Move{{First: s.First, Last: s.Last, To: s.Owner}})
+	c.refence(t.service, s)
 }
 
 // logOrder logs what an order changed; renewals without news are not logged.
@@ -263,5 +264,10 @@
 	if s == nil || s.Owner != life || !s.Ready || time.Since(l.keeper.readySince[idOf(s)]) < refenceAfter {
 		return
 	}
-	c.writeMoves(service, l.keeper.slices[service], []keyspace.Move{{First: s.First, Last: s.Last, To: s.Owner}})
+	c.refence(service, s)
+}
+
+// refence gives a slice to its owner anew, at a higher fence.
+func (c *Coordinator) refence(service string, s *fleet.Slice) {
+	c.writeMoves(service, c.lead.keeper.slices[service], []keyspace.Move{{First: s.First, Last: s.Last, To: s.Owner}})
 }
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -62,8 +62,7 @@
 func (c *Coordinator) report(now time.Time) {
 	c.reportAt = now.Add(c.reportInterval())
 	c.config.Sender.Send(c.view.Leader.VM, &peerv1.Control{Kind: &peerv1.Control_MemberReport{MemberReport: &peerv1.MemberReport{
-		Term: c.view.Term, Address: c.config.Self.Address, FailureDomain: c.config.FailureDomain,
-		Processor: c.config.Processor, Leaving: c.leaving, Have: c.have,
+		Term: c.view.Term, Address: c.config.Self.Address, Have: c.have,
 	}}})
 }
 
@@ -150,10 +149,7 @@
 		object, err := c.config.Store.Get(ctx, c.config.RecordName)
 		var record *fleet.Record
 		if err == nil {
-			record = &fleet.Record{}
-			if decodeErr := json.Unmarshal(object.Value, record); decodeErr != nil {
-				err = fault.Wrap(decodeErr, fault.Invalid, "delete the object", "the record in the store cannot be read")
-			}
+			record, err = decodeRecord(object.Value)
 		}
 		e := evidence{known: len(others), silentFor: silent}
 		if record != nil && record.Term == known.Term && record.Leader.Incarnation == leader.Incarnation {
@@ -189,7 +185,7 @@
 			ctx, cancel := context.WithTimeout(c.ctx, askTimeout)
 			defer cancel()
 			reply, err := c.config.Sender.Call(ctx, vm, &peerv1.Control{
-				Kind: &peerv1.Control_LeaderQuery{LeaderQuery: &peerv1.LeaderQuery{Term: term}},
+				Kind: &peerv1.Control_LeaderQuery{LeaderQuery: &peerv1.LeaderQuery{}},
 			})
 			if err != nil {
 				answers <- nil
--- a/internal/process/coordinator/parts.go
+++ b/internal/process/coordinator/parts.go
@@ -42,6 +42,9 @@
 	lists   map[uint64]*peerv1.TargetList
 	listsAt time.Time
 
+	// owned are the slices; they change with every grant that is confirmed, so
+	// they are encoded only when they are sent, until then slices is nil.
+	owned   map[string][]fleet.Slice
 	slices  *peerv1.SliceList
 	members *peerv1.MemberList
 }
@@ -52,6 +55,9 @@
 
 // versions returns the present digests.
 func (p *parts) versions() *peerv1.PartVersions {
+	if p.slices == nil && p.owned != nil {
+		p.slices, p.digests.Slices = slicesToWire(p.owned), digestSlices(p.owned)
+	}
 	return &peerv1.PartVersions{
 		Config: p.digests.Config, Targets: p.digests.Targets, Slices: p.digests.Slices, Members: p.digests.Members,
 	}
@@ -100,8 +106,7 @@
 }
 
 func (p *parts) setSlices(services map[string][]fleet.Slice) {
-	p.slices = slicesToWire(services)
-	p.digests.Slices = digestSlices(services)
+	p.owned, p.slices = services, nil
 }
 
 func (p *parts) setMembers(members map[string]fleet.Member, brokers map[string]string) {
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -19,7 +19,6 @@
 	// followedAt is the uptime at which the VM last said that it follows this one.
 	followedAt time.Duration
 	term       uint64
-	leaving    bool
 	// sent are the versions that were last sent, at sentAt; nil until the VM has
 	// said what it has. detailsAt is when owners of keys or VMs were last sent.
 	sent      *peerv1.PartVersions
@@ -130,7 +129,7 @@
 		l.members[from.VM] = m
 		c.membersChanged()
 	}
-	m.heardAt, m.followedAt, m.term, m.leaving = now, c.config.Uptime(), report.Term, report.Leaving
+	m.heardAt, m.followedAt, m.term = now, c.config.Uptime(), report.Term
 	if m.sent == nil || now.Sub(m.sentAt) > resendAfter {
 		m.sent = &peerv1.PartVersions{}
 		if report.Have != nil {
--- a/internal/process/coordinator/record.go
+++ b/internal/process/coordinator/record.go
@@ -153,9 +153,9 @@
 	if err != nil {
 		return 0, fault.Wrap(err, fault.UnknownOutcome, "read the record again", "the record cannot be read back")
 	}
-	var found fleet.Record
-	if err := json.Unmarshal(object.Value, &found); err != nil {
-		return 0, fault.Wrap(err, fault.Invalid, "delete the object", "the record in the store cannot be read")
+	found, err := decodeRecord(object.Value)
+	if err != nil {
+		return 0, err
 	}
 	if found.Leader.Incarnation == record.Leader.Incarnation && found.Term == record.Term && found.Write == record.Write {
 		return object.Version, nil
@@ -163,6 +163,14 @@
 	return 0, refused
 }
 
+func decodeRecord(value []byte) (*fleet.Record, error) {
+	record := &fleet.Record{}
+	if err := json.Unmarshal(value, record); err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "delete the object", "the record in the store cannot be read")
+	}
+	return record, nil
+}
+
 // next returns the record with changed slices of one service.
 func (l *leadership) next(service string, list []fleet.Slice, lastFence uint64) fleet.Record {
 	record := l.record
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -127,7 +127,7 @@
 		Self: g.self.VM, Broker: broker, Sender: g.transport, View: g.view.Load, Hears: g.hears,
 	})
 	g.coordinator = coordinator.New(coordinator.Config{
-		Self: g.self, FailureDomain: g.settings.FailureDomain, Processor: g.settings.Processor,
+		Self: g.self, Processor: g.settings.Processor,
 		RecordName: platform.RecordName, Names: platform.Names, Loop: g.loop, Store: platform.Store,
 		Sender: g.transport, Targets: platform.Targets, LongestHold: g.settings.LongestHold,
 		Publish: g.publish, Observe: g.desk.Observe, Demand: g.desk.Demand, Uptime: uptime, Logger: &g.logger,
--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -177,22 +178,10 @@
 func (o *Observer) Config() *fleet.Config { return o.current }
 
 // Targets returns a copy of the targets.
-func (o *Observer) Targets() map[string]*fleet.Target {
-	copied := make(map[string]*fleet.Target, len(o.targets))
-	for id, t := range o.targets {
-		copied[id] = t
-	}
-	return copied
-}
+func (o *Observer) Targets() map[string]*fleet.Target { return maps.Clone(o.targets) }
 
 // Evacuated returns a copy of the failure domains that are taken out.
-func (o *Observer) Evacuated() map[string]bool {
-	copied := make(map[string]bool, len(o.evacuated))
-	for domain := range o.evacuated {
-		copied[domain] = true
-	}
-	return copied
-}
+func (o *Observer) Evacuated() map[string]bool { return maps.Clone(o.evacuated) }
 
 func (o *Observer) configListed(objects []store.Object) { o.configChanged(objects) }
 
--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -86,8 +86,7 @@
 type Permit struct {
 	admission.Decision
 	// Broker is the VM that gave the permit; empty if this VM decided alone.
-	Broker  string
-	service string
+	Broker string
 }
 
 // Update follows a new view.
@@ -146,7 +145,7 @@
 	d.ask(b, r)
 	select {
 	case decision := <-answer:
-		return Permit{Decision: decision, Broker: name, service: r.Service}, nil
+		return Permit{Decision: decision, Broker: name}, nil
 	case <-ctx.Done():
 		d.endHere(b, admission.End{ID: r.ID, Result: admission.Canceled})
 		return Permit{}, ctx.Err()
@@ -163,16 +162,16 @@
 	for {
 		select {
 		case decision := <-answer:
-			return Permit{Decision: decision, Broker: broker, service: r.Service}, true, nil
+			return Permit{Decision: decision, Broker: broker}, true, nil
 		case <-ctx.Done():
-			d.endAt(broker, r.Service, "", admission.End{ID: r.ID, Result: admission.Canceled})
+			d.endAt(broker, admission.End{ID: r.ID, Result: admission.Canceled})
 			return Permit{}, true, ctx.Err()
 		case <-timer.C:
 			if d.isQueued(r.ID.Number) && d.config.Hears(broker) {
 				timer.Reset(queuedCheck)
 				continue
 			}
-			d.endAt(broker, r.Service, "", admission.End{ID: r.ID, Result: admission.Canceled})
+			d.endAt(broker, admission.End{ID: r.ID, Result: admission.Canceled})
 			d.mu.Lock()
 			d.distrust[broker] = time.Now().Add(distrust)
 			d.mu.Unlock()
@@ -196,7 +195,7 @@
 	case d.config.Self:
 		d.endHere(d.broker, end)
 	default:
-		d.endAt(p.Broker, p.service, p.Target.ID, end)
+		d.endAt(p.Broker, end)
 	}
 }
 
@@ -207,10 +206,9 @@
 	d.flush()
 }
 
-func (d *Desk) endAt(broker, service, target string, end admission.End) {
+func (d *Desk) endAt(broker string, end admission.End) {
 	message := &peerv1.PermitEnd{
-		Number: end.ID.Number, Service: service, Target: target, Result: peerv1.PermitResult(end.Result),
-		ServiceMicros: uint32(end.Took.Microseconds()),
+		Number: end.ID.Number, Result: peerv1.PermitResult(end.Result), ServiceMicros: uint32(end.Took.Microseconds()),
 	}
 	if end.HasLoad {
 		message.Load = &peerv1.ObservedLoad{
@@ -229,7 +227,7 @@
 		d.countDemand(r, now)
 	}
 	b.Ask(r, now)
-	if b == d.broker && r.ID.VM != d.config.Self && b.Waiting(r.ID) {
+	if b == d.broker && r.ID.VM != d.config.Self && b.Waiting(r.Service, r.ID) {
 		d.replies = append(d.replies, reply{r.ID.VM, &peerv1.PermitReply{Number: r.ID.Number, Queued: true}})
 	}
 	d.startTicking()
@@ -246,25 +244,26 @@
 	if service == nil || !service.Keyed {
 		return
 	}
-	load := d.demand[r.Service]
-	if load == nil {
-		load = keyspace.NewLoad(now)
-		d.demand[r.Service] = load
-	}
-	load.Add(r.Key, d.broker.Work(r.Service, r.Class))
+	d.loadOf(r.Service, now).Add(r.Key, d.broker.Work(r.Service, r.Class))
 }
 
 // Demand hands out the measured demand for the keys of a service.
 func (d *Desk) Demand(service string, now time.Time, use func(*keyspace.Load)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	load := d.loadOf(service, now)
+	load.Fade(now)
+	use(load)
+}
+
+// loadOf returns the measured demand for a service; the lock is held.
+func (d *Desk) loadOf(service string, now time.Time) *keyspace.Load {
 	load := d.demand[service]
 	if load == nil {
 		load = keyspace.NewLoad(now)
 		d.demand[service] = load
 	}
-	load.Fade(now)
-	use(load)
+	return load
 }
 
 // Observe returns what the own broker has measured of a target.
@@ -357,13 +356,13 @@
 	d.mu.Unlock()
 	if !delivered && decision.Refused == "" {
 		// The request was given up meanwhile.
-		d.endAt(broker, "", message.Target, admission.End{ID: decision.ID, Result: admission.Canceled})
+		d.endAt(broker, admission.End{ID: decision.ID, Result: admission.Canceled})
 	}
 }
 
 // Forget withdraws what waits here for a VM that is gone.
 func (d *Desk) Forget(vm string) {
 	d.mu.Lock()
-	d.broker.Forget(vm, time.Now())
+	d.broker.Forget(vm)
 	d.mu.Unlock()
 }
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -98,8 +98,6 @@
 	Refused Reason
 	// RetryAfter is when the caller may come back with a chance.
 	RetryAfter time.Duration
-	// Waited is how long the request was queued.
-	Waited time.Duration
 }
 
 // End reports the end of a permitted request.
@@ -195,14 +193,10 @@
 	p.ask(&r, now)
 }
 
-// Waiting reports whether a request waits in a queue.
-func (b *Broker) Waiting(id ID) bool {
-	for _, p := range b.pools {
-		if _, waits := p.waiting[id]; waits {
-			return true
-		}
-	}
-	return false
+// Waiting reports whether a request to a service waits in a queue.
+func (b *Broker) Waiting(service string, id ID) bool {
+	p := b.pools[service]
+	return p != nil && p.waiting[id] != nil
 }
 
 // End gives a slot back, or withdraws a request that waits.
@@ -213,15 +207,15 @@
 		return
 	}
 	for _, p := range b.pools {
-		p.withdraw(end.ID, now)
+		p.withdraw(end.ID)
 	}
 }
 
 // Forget withdraws what waits for a VM that is gone. Its requests that run keep
 // their slots until their deadline, since the targets may still work on them.
-func (b *Broker) Forget(vm string, now time.Time) {
+func (b *Broker) Forget(vm string) {
 	for _, p := range b.pools {
-		p.forget(vm, now)
+		p.forget(vm)
 	}
 }
 
@@ -258,10 +252,6 @@
 	Slowness float64
 	// FailureShare is the recent share of requests that the target refused or broke.
 	FailureShare float64
-	// Refused is set while nothing listens at its address.
-	Refused bool
-	Running int
-	Queued  int
 }
 
 // Observe returns what was measured of a target; false if it is not known.
@@ -271,13 +261,7 @@
 		return Observation{}, false
 	}
 	t := p.targets[id]
-	queued := 0
-	if p.service.Keyed {
-		queued = len(p.queueOf(id).waiters)
-	}
-	return Observation{
-		Slowness: t.slowness, FailureShare: t.failures, Refused: t.refused, Running: t.running, Queued: queued,
-	}, true
+	return Observation{Slowness: t.slowness, FailureShare: t.failures}, true
 }
 
 // Work returns the expected work in seconds of one request of a class.
--- a/internal/request/admission/choice.go
+++ b/internal/request/admission/choice.go
@@ -62,7 +62,7 @@
 	if !t.cold(now) {
 		return true
 	}
-	return !p.broker.config.Cautious && !t.coldRoom(p.coldLimit(), now).After(now)
+	return !p.broker.config.Cautious && t.coldRoom(p.coldLimit(), now)
 }
 
 // coldLimit is the number of starts at a cold target within coldWindow.
@@ -131,9 +131,9 @@
 	return !now.Add(p.takes(r, t, now)).After(r.Deadline)
 }
 
-// capacity returns the slots of the targets behind a queue and the mean time
-// that one request holds a slot.
-func (p *pool) capacity(q *queue, r *Request, now time.Time) (slots int, each time.Duration) {
+// capacity returns the slots of the targets that a request may wait for and the
+// mean time that one request holds a slot.
+func (p *pool) capacity(r *Request, now time.Time) (slots int, each time.Duration) {
 	if p.service.Keyed {
 		t := p.targets[p.ownerID(r.Key)]
 		if t == nil || !t.usable {
@@ -157,7 +157,7 @@
 // servable reports whether a request that must wait can be answered before its
 // deadline, and how long it would wait.
 func (p *pool) servable(q *queue, r *Request, now time.Time) (time.Duration, bool) {
-	slots, each := p.capacity(q, r, now)
+	slots, each := p.capacity(r, now)
 	if slots == 0 {
 		// The keys are on their way to another owner, or the targets are: most
 		// moves take less than the time of one request.
--- a/internal/request/admission/load_test.go
+++ b/internal/request/admission/load_test.go
@@ -233,7 +233,7 @@
 		}, now)
 	}
 	assert.Equal(t, len(decisions), 2, "two slots, one request waits")
-	broker.Forget("gone", now)
+	broker.Forget("gone")
 	broker.Tick(now.Add(1600 * time.Millisecond))
 	now = now.Add(1700 * time.Millisecond)
 	broker.Ask(admission.Request{
--- a/internal/request/admission/pool.go
+++ b/internal/request/admission/pool.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"time"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
@@ -37,8 +36,6 @@
 	crowding = 0.2
 )
 
-func halve(halfLives float64) float64 { return math.Exp2(-halfLives) }
-
 // pool holds the targets and queues of one service.
 type pool struct {
 	broker  *Broker
@@ -85,7 +82,7 @@
 		t.usable = view.Usable(declared)
 	}
 	if service.Keyed {
-		p.requeue(now)
+		p.requeue()
 	}
 }
 
@@ -100,7 +97,7 @@
 }
 
 // requeue moves waiting requests to the queues of the present owners.
-func (p *pool) requeue(now time.Time) {
+func (p *pool) requeue() {
 	for owner, q := range p.owners {
 		kept := q.waiters[:0]
 		var moved []*Request
@@ -143,11 +140,16 @@
 	return t
 }
 
-func (p *pool) enqueue(r *Request) {
-	q := p.shared
+// queueFor returns the queue that a request belongs to.
+func (p *pool) queueFor(r *Request) *queue {
 	if p.service.Keyed {
-		q = p.queueOf(p.ownerID(r.Key))
+		return p.queueOf(p.ownerID(r.Key))
 	}
+	return p.shared
+}
+
+func (p *pool) enqueue(r *Request) {
+	q := p.queueFor(r)
 	q.push(r)
 	p.waiting[r.ID] = q
 }
@@ -163,10 +165,7 @@
 	if !r.Repeat {
 		p.repeats.first(now)
 	}
-	q := p.shared
-	if p.service.Keyed {
-		q = p.queueOf(p.ownerID(r.Key))
-	}
+	q := p.queueFor(r)
 	q.arrive(p.classWork(r.Class, r.Aim.Sub(now)), now)
 	p.setLocal(r, now)
 	if len(q.waiters) == 0 {
@@ -198,7 +197,7 @@
 	if r.Repeat {
 		p.repeats.spend(now)
 	}
-	p.broker.config.Decide(Decision{ID: r.ID, Target: t.Life, Waited: now.Sub(r.arrived)})
+	p.broker.config.Decide(Decision{ID: r.ID, Target: t.Life})
 }
 
 func (p *pool) refuse(r *Request, reason Reason, after time.Duration, now time.Time) {
@@ -206,36 +205,36 @@
 	if third := r.Deadline.Sub(now) / 3; third > retrySoon {
 		after = min(after, third)
 	}
-	p.broker.config.Decide(Decision{ID: r.ID, Refused: reason, RetryAfter: after, Waited: now.Sub(r.arrived)})
+	p.broker.config.Decide(Decision{ID: r.ID, Refused: reason, RetryAfter: after})
 }
 
 // dispatch lets waiting requests run while there are free slots.
 func (p *pool) dispatch(q *queue, now time.Time) {
 	for len(q.waiters) > 0 {
-		r := p.nextFor(q, now)
+		r, t := p.nextFor(q, now)
 		if r == nil {
 			return
 		}
-		t := p.choose(r, now)
-		if t == nil {
-			return
-		}
 		q.remove(r)
 		delete(p.waiting, r.ID)
 		p.permit(r, t, now)
 	}
 }
 
-// nextFor returns the request of a queue to run next, or nil.
-func (p *pool) nextFor(q *queue, now time.Time) *Request {
+// nextFor returns the request of a queue to run next and its target, or nil.
+func (p *pool) nextFor(q *queue, now time.Time) (*Request, *target) {
 	chosen := map[ID]*target{}
-	return q.next(now,
+	r := q.next(now,
 		func(r *Request) time.Duration { return p.takes(r, chosen[r.ID], now) },
 		func(r *Request) bool {
 			t := p.choose(r, now)
 			chosen[r.ID] = t
 			return t != nil
 		})
+	if r == nil {
+		return nil, nil
+	}
+	return r, chosen[r.ID]
 }
 
 // ended takes a slot back and counts the result.
@@ -291,7 +290,7 @@
 }
 
 // withdraw takes a waiting request out.
-func (p *pool) withdraw(id ID, now time.Time) {
+func (p *pool) withdraw(id ID) {
 	q := p.waiting[id]
 	if q == nil {
 		return
@@ -305,10 +304,10 @@
 	}
 }
 
-func (p *pool) forget(vm string, now time.Time) {
+func (p *pool) forget(vm string) {
 	for id := range p.waiting {
 		if id.VM == vm {
-			p.withdraw(id, now)
+			p.withdraw(id)
 		}
 	}
 }
@@ -347,7 +346,7 @@
 func (p *pool) prune(q *queue, now time.Time) {
 	var hopeless []*Request
 	for _, r := range q.waiters {
-		_, each := p.capacity(q, r, now)
+		_, each := p.capacity(r, now)
 		if now.Add(max(each, transit)).After(r.Deadline) {
 			hopeless = append(hopeless, r)
 		}
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -22,16 +23,14 @@
 // arrive counts arriving work.
 func (q *queue) arrive(work float64, now time.Time) {
 	q.fade(now)
-	q.demand += work * ln2 / rateHalfLife
+	q.demand += work * math.Ln2 / rateHalfLife
 }
 
-const ln2 = 0.693147
-
 func (q *queue) fade(now time.Time) {
 	if q.demandAt.IsZero() {
 		q.demandAt = now
 	}
-	q.demand *= halve(now.Sub(q.demandAt).Seconds() / rateHalfLife)
+	q.demand *= math.Exp2(-now.Sub(q.demandAt).Seconds() / rateHalfLife)
 	q.demandAt = now
 }
 
--- a/internal/request/admission/target.go
+++ b/internal/request/admission/target.go
@@ -83,8 +83,8 @@
 // cold reports whether the target is cold.
 func (t *target) cold(now time.Time) bool { return now.Before(t.ColdUntil) }
 
-// coldRoom returns when a cold target may start its next request.
-func (t *target) coldRoom(limit int, now time.Time) time.Time {
+// coldRoom reports whether a cold target may start one more request.
+func (t *target) coldRoom(limit int, now time.Time) bool {
 	kept := t.starts[:0]
 	for _, start := range t.starts {
 		if now.Sub(start) < coldWindow {
@@ -92,10 +92,7 @@
 		}
 	}
 	t.starts = kept
-	if len(t.starts) < limit {
-		return now
-	}
-	return t.starts[len(t.starts)-limit].Add(coldWindow)
+	return len(t.starts) < limit
 }
 
 // learn counts a service time; work is the mean of the request's class.
--- a/internal/request/dispatch/headers.go
+++ b/internal/request/dispatch/headers.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"net/http"
-	"net/textproto"
 	"net/url"
 	"strconv"
 	"strings"
@@ -12,30 +11,19 @@
 
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/hopbyhop"
 )
 
 // ownPrefix begins the names of the headers that only the system sets.
 const ownPrefix = "Chestnutcourse-"
 
-// connectionHeaders concern one connection and are not passed on. Expect is
-// among them because the body is sent without waiting.
-var connectionHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Expect": true, "Content-Length": true,
-}
-
-// passedOn returns the headers that may pass to the other side.
+// passedOn returns the headers that may pass to the other side. Expect does not,
+// because the body is sent without waiting.
 func passedOn(headers http.Header) http.Header {
-	named := map[string]bool{}
-	for _, value := range headers["Connection"] {
-		for _, name := range strings.Split(value, ",") {
-			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
 	kept := make(http.Header, len(headers))
 	for name, values := range headers {
-		if !connectionHeaders[name] && !named[name] && !strings.HasPrefix(name, ownPrefix) {
+		dropped := name == "Expect" || name == "Content-Length" || strings.HasPrefix(name, ownPrefix)
+		if !dropped && !hopbyhop.Header(name, headers["Connection"]) {
 			kept[name] = values
 		}
 	}
--- a/internal/request/entry/headers.go
+++ b/internal/request/entry/headers.go
@@ -5,35 +5,17 @@
 	"strings"
 
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/hopbyhop"
 )
 
 // internalPrefix begins the names of headers that only the system sets. A
 // caller must not be able to forge a fence, nor a target an outcome.
 const internalPrefix = "Chestnutcourse-"
 
-// hopByHop lists headers that concern one connection only (RFC 9110, 7.6.1),
-// and Content-Length, which travels in a field of its own.
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
-	"Proxy-Authorization": true, "Proxy-Connection": true, "Te": true,
-	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true,
-}
-
 // passes reports whether a header is passed on. connection holds the values of
-// the Connection header, which names further headers of the connection.
+// the Connection header. Content-Length travels in a field of its own.
 func passes(name string, connection []string) bool {
-	if hopByHop[name] || strings.HasPrefix(name, internalPrefix) {
-		return false
-	}
-	for _, value := range connection {
-		for option := range strings.SplitSeq(value, ",") {
-			if strings.EqualFold(strings.TrimSpace(option), name) {
-				return false
-			}
-		}
-	}
-	return true
+	return !hopbyhop.Header(name, connection) && name != "Content-Length" && !strings.HasPrefix(name, internalPrefix)
 }
 
 // requestHeaders returns the caller's headers as they travel to the target.
--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -5,16 +5,15 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/textproto"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/permits"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/hopbyhop"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
@@ -31,25 +30,13 @@
 	complete bool
 }
 
-// singleHop are the headers that concern one connection only.
-var singleHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // copyHeaders copies the headers that pass on.
 func copyHeaders(to, from http.Header) {
 	for name, values := range from {
-		to[name] = values
-	}
-	for _, listed := range from["Connection"] {
-		for _, name := range strings.Split(listed, ",") {
-			delete(to, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		if !hopbyhop.Header(name, from["Connection"]) {
+			to[name] = values
 		}
 	}
-	for _, name := range singleHop {
-		delete(to, name)
-	}
 }
 
 // outgoing builds the request for a target.
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -132,7 +132,7 @@
 	if dialect.NotRun(got.Status, got.Header) {
 		_ = got.Body.Close()
 		cancel()
-		return x.notRun(permit, got, took)
+		return x.notRun(permit, got.Status, took, load, hasLoad)
 	}
 	head, err := readUpTo(got.Body, keptBody)
 	if err != nil && !errors.Is(err, io.EOF) {
@@ -154,12 +154,11 @@
 }
 
 // notRun handles an answer that states that the request did not run.
-func (x *exchange) notRun(permit permits.Permit, got *target.Answer, took time.Duration) outcome {
+func (x *exchange) notRun(permit permits.Permit, status int, took time.Duration, load fleet.Load, hasLoad bool) outcome {
 	result := admission.NotRun
-	if got.Status == http.StatusMisdirectedRequest {
+	if status == http.StatusMisdirectedRequest {
 		result = admission.NotOwner
 	}
-	load, hasLoad := x.handler.config.Dialect.Load(got.Header)
 	x.handler.config.Permits.End(permit, result, took, load, hasLoad)
 	return outcome{result: result, arrived: true, cause: errTargetRefused}
 }
@@ -207,7 +206,7 @@
 	x.refuse(reason, 0)
 }
 
-// broken answers a request that may have run.
+// broken answers a request that may have run, if its caller is still there.
 func (x *exchange) broken(o outcome) {
 	if x.r.Context().Err() != nil {
 		x.left()
@@ -222,11 +221,7 @@
 
 // givenUp answers a request after its last attempt.
 func (x *exchange) givenUp(o outcome) {
-	if x.r.Context().Err() != nil {
-		x.left()
-		return
-	}
-	if o.mayHaveRun {
+	if o.mayHaveRun || x.r.Context().Err() != nil {
 		x.broken(o)
 		return
 	}
--- a/internal/version/fleet/view.go
+++ b/internal/version/fleet/view.go
@@ -50,9 +50,6 @@
 // Contains reports whether the slice has the key.
 func (s *Slice) Contains(key uint16) bool { return s.First <= key && key <= s.Last }
 
-// Width is the number of keys of the slice.
-func (s *Slice) Width() int { return int(s.Last) - int(s.First) + 1 }
-
 // Find returns the slice that contains the key in a list sorted by key, or nil.
 func Find(slices []Slice, key uint16) *Slice {
 	i := sort.Search(len(slices), func(i int) bool { return slices[i].Last >= key })
