Warm the targets before the long requests of the exit test

Cause: TestExitOfAFailureDomain sent its long requests one second after the start of the load, however little of that the machine had served by then. Ruled out: the exit itself (504 was the target's answer, 'answered'), and the frozen VM (its keys are left out).

Change: the test waits until each target has run more requests than its cold start needs, and sends each target no more long requests than it runs at once. Bounds and checks stay; those of work before and after the exit see more requests than before.

--- a/tests/configuration/exit_test.go
+++ b/tests/configuration/exit_test.go
@@ -27,6 +27,9 @@
 	longService = 4 * time.Second
 	// longRequests is the number of those requests.
 	longRequests = 12
+	// warmAnswers is the number of answers after which a target's cold-start limit
+	// has reached its slots.
+	warmAnswers = (targetSlots - manifest.DefaultColdSlots) * manifest.DefaultColdSuccesses
 	// observed is how long the domain is watched after noWorkAfter.
 	observed = 3 * time.Second
 )
@@ -65,7 +68,7 @@
 			c := start(t, 9, 6, true)
 			domain := c.Manifest.FailureDomains[0].Name
 			l := startLoad(t, c, exitCallers)
-			time.Sleep(time.Second)
+			warmUp(t, c)
 			keys := longKeys(t, c)
 			failing := test.fault(t, c)
 			long := startLongRequests(c, keys, failing)
@@ -190,10 +193,25 @@
 	requests []longRequest
 }
 
-// dispatchedKey is a key with the VM that dispatches it.
-type dispatchedKey struct{ key, dispatcher string }
+// warmUp waits until the load has warmed all targets. A cold target runs one
+// request at a time, so that long requests would wait there for each other until
+// their deadline instead of being in flight.
+func warmUp(t *testing.T, c *cluster.Cluster) {
+	t.Helper()
+	for _, target := range c.Targets {
+		cluster.Eventually(t, cluster.ReadyLimit, target.Name+" is warm", func() error {
+			if got := len(target.ReadRecord(t).Executions); got <= warmAnswers {
+				return fmt.Errorf("it has run %d requests, not more than %d", got, warmAnswers)
+			}
+			return nil
+		})
+	}
+}
+
+// dispatchedKey is a key with its target and the VM that dispatches it.
+type dispatchedKey struct{ key, target, dispatcher string }
 
-// longKeys returns keys with their dispatchers.
+// longKeys returns keys with their targets and dispatchers.
 func longKeys(t *testing.T, c *cluster.Cluster) []dispatchedKey {
 	t.Helper()
 	var keys []dispatchedKey
@@ -202,16 +220,20 @@
 		key := fmt.Sprintf("long-%d", i)
 		assert.NilError(t, get(c.VMs[0], operatorv1.PathRoutes+"?service=slots&key="+key, &route))
 		assert.Assert(t, route.Target != nil, route.Explanation)
-		keys = append(keys, dispatchedKey{key, route.Target.Dispatcher})
+		keys = append(keys, dispatchedKey{key, route.Target.Name, route.Target.Dispatcher})
 	}
 	return keys
 }
 
-// startLongRequests starts requests that do not pass the VM that fails.
+// startLongRequests starts requests that do not pass the VM that fails, on each
+// target as many as it runs at once.
 func startLongRequests(c *cluster.Cluster, keys []dispatchedKey, failing *cluster.VM) *longSet {
 	set := &longSet{requests: make([]longRequest, 0, longRequests)}
+	running := map[string]int{}
 	for _, candidate := range keys {
-		if len(set.requests) < longRequests && (failing == nil || candidate.dispatcher != failing.Name) {
+		passes := failing == nil || candidate.dispatcher != failing.Name
+		if passes && len(set.requests) < longRequests && running[candidate.target] < targetSlots {
+			running[candidate.target]++
 			set.requests = append(set.requests, longRequest{key: candidate.key})
 		}
 	}
--- a/tests/configuration/main_test.go
+++ b/tests/configuration/main_test.go
@@ -25,6 +25,9 @@
 	"github.com/chestnutcourse/chestnutcourse/internal/version/manifest"
 )
 
+// targetSlots is the number of requests that a target runs at once.
+const targetSlots = 4
+
 // Stated targets.
 const (
 	// inForceBound is the time in which an accepted change is in force on every
@@ -53,7 +56,7 @@
 			Name: "slots", Match: manifest.Match{PathPrefix: "/slots"}, Placement: manifest.Keyed,
 			Key: &manifest.Key{From: manifest.KeyFromPath}, Fencing: manifest.Checked, Grants: manifest.Expire,
 		},
-		Targets: targets, Slots: 4,
+		Targets: targets, Slots: targetSlots,
 		Fake: faketarget.Settings{ServiceMillis: 1, Grants: faketarget.GrantsExpire, ChecksFences: true},
 	}}})
 	for _, vm := range c.VMs {
