--- a/cmd/chestnutcoursed/platform.go
+++ b/cmd/chestnutcoursed/platform.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/process/daemon"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/gateway"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/observer"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
@@ -43,7 +44,7 @@
 	out := daemon.NewLogWriter(os.Stdout)
 	defer out.Close()
 	logger := zerolog.New(out).With().Timestamp().Str("vm", s.VM).Logger()
-	g, err := gateway.New(gatewaySettings(s), platformParts(s), logger)
+	g, err := gateway.New(gatewaySettings(s), platformParts(s, &logger), logger)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitInvalid
@@ -67,15 +68,18 @@
 			Budget: admission.Budget{
 				Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow,
 			},
-			ColdFactor: s.Bounds.ColdFactor, ColdAllowance: s.Bounds.ColdAllowance,
+			ColdFactor: s.Bounds.ColdFactor,
 		},
 		LongestHold: s.Bounds.LongestGrant, StopWithin: s.Bounds.Stop,
 	}
 }
 
-func platformParts(s *platform.Settings) gateway.Platform {
+func platformParts(s *platform.Settings, logger *zerolog.Logger) gateway.Platform {
+	unreadable := func(kind string, err error) {
+		events.DeclarationInvalid.Log(logger).Str("kind", kind).Err(err).Send()
+	}
 	return gateway.Platform{
-		Store: platform.NewStore(s.StoreAddress), RecordName: platform.RecordName,
+		Store: platform.NewStore(s.StoreAddress, unreadable), RecordName: platform.RecordName,
 		Names: observer.Names{
 			Config: platform.ConfigPrefix, Targets: platform.TargetsPrefix, Evacuations: platform.EvacuationsPrefix,
 			DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget, DecodeEvacuation: platform.DecodeEvacuation,
--- a/internal/request/admission/choice.go
+++ b/internal/request/admission/choice.go
@@ -67,8 +67,7 @@
 
 // coldLimit is the number of starts at a cold target within coldWindow.
 func (p *pool) coldLimit() int {
-	allowed := p.service.ColdRate*p.broker.config.ColdFactor + p.broker.config.ColdAllowance
-	return max(int(coldShare*min(allowed, p.service.ColdRate*p.broker.config.ColdFactor)), 1)
+	return max(int(coldShare*p.service.ColdRate*p.broker.config.ColdFactor), 1)
 }
 
 // choose returns the target for a request that would run now, or nil.
--- a/internal/request/admission/play_test.go
+++ b/internal/request/admission/play_test.go
@@ -239,5 +239,5 @@
 var budget = admission.Budget{Ratio: 0.2, Allowance: 100, Window: 10 * time.Second}
 
 func usual() admission.Config {
-	return admission.Config{Budget: budget, ColdFactor: 1.5, ColdAllowance: 5}
+	return admission.Config{Budget: budget, ColdFactor: 1.5}
 }
