Let large VMs lead, and keep a leader over an outage of the store

The delay before a VM looks for a leader differed by 138 ms between the largest and the smallest, less than its own spread of 180 ms. Ruled out: the store (up), the watch (the new leader had the configuration 0.1 s after its write).

Change: VMs know each other's processor; the order in which they look follows it, one after the other instead of by draw; a small VM waits 0.5 s longer if there are larger ones, and leaves the lead to a larger one that has followed for 3 s.

A VM that was without the store itself lately now leaves a leader that lacks only the store 2 s, and what the leader says during a look counts.

--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -41,8 +41,6 @@
 // Config configures a Coordinator.
 type Config struct {
 	Self fleet.Member
-	// Processor is this VM's share of a core.
-	Processor float64
 	// RecordName is the store object that holds the record.
 	RecordName string
 	Names      observer.Names
@@ -78,8 +76,12 @@
 	heardNanos atomic.Int64
 	reportAt   time.Time
 	yielding   bool
-	have       *peerv1.PartVersions
-	lookAt     time.Time
+	// lacksStore is set if the leader yields only because it has lost the store;
+	// storeFailedAt is when this VM last had no answer of it.
+	lacksStore    bool
+	storeFailedAt time.Time
+	have          *peerv1.PartVersions
+	lookAt        time.Time
 	// seenRevision is the record's revision when it was last read, seenSince when
 	// it was first read at that revision.
 	seenRevision int64
@@ -108,7 +110,7 @@
 		now := time.Now()
 		c.startedAt = now
 		c.heardAt = now.Add(-silentAfter)
-		c.lookAt = now.Add(rankDelay(c.config.Self, c.config.Processor, 0))
+		c.lookAt = now.Add(rankDelay(c.config.Self, c.view))
 	})
 	c.config.Loop.Every(ctx, tickEvery, c.tick)
 }
--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -353,3 +353,46 @@
 		}
 	}
 }
+
+// TestLeaderStaysOverAnOutage: a store that was away for everybody comes back, and
+// nobody takes over from a leader that has not yet tried again.
+func TestLeaderStaysOverAnOutage(t *testing.T) {
+	for i := range uint64(12) {
+		run(t, seed.Value+i, 9, 6, func(w *world) {
+			w.servedWithin(2 * time.Second)
+			time.Sleep(2 * time.Second)
+			name, _ := w.leader()
+			w.set(func() { w.outage = true })
+			time.Sleep(4*time.Second + time.Duration(i)*70*time.Millisecond)
+			w.set(func() { w.outage = false })
+			time.Sleep(3 * time.Second)
+			next, count := w.leader()
+			w.check(count == 1 && next == name, "%d leaders, %s after %s", count, next, name)
+		})
+	}
+}
+
+// TestLargeVMLeads: of VMs of unequal size a large one leads after the loss of the
+// leader, and a small one leaves the lead to a large one that joins.
+func TestLargeVMLeads(t *testing.T) {
+	run(t, seed.Value, 9, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		name, _ := w.leader()
+		w.check(processorOf(name) == 800, "%s leads at the start", name)
+		w.killNode(name)
+		time.Sleep(2 * time.Second)
+		next, count := w.leader()
+		w.check(count == 1 && next != name && processorOf(next) == 800, "%d leaders, %s after %s", count, next, name)
+		for _, large := range []string{"n0", "n3", "n6"} {
+			w.killNode(large)
+		}
+		time.Sleep(3 * time.Second)
+		_, count = w.leader()
+		w.check(count == 1, "%d leaders without a large VM", count)
+		w.startNode("n3")
+		gap := w.longestGap(7 * time.Second)
+		w.check(gap < servedAgain, "a key was held by nobody for %s", gap)
+		last, count := w.leader()
+		w.check(count == 1 && last == "n3", "%d leaders, %s after the return of a large VM", count, last)
+	})
+}
--- a/internal/process/coordinator/election.go
+++ b/internal/process/coordinator/election.go
@@ -16,11 +16,26 @@
 	// that hears nobody takes over: a leader that reaches the store writes it
 	// every 0.6 s.
 	aloneAfter = 3500 * time.Millisecond
-	// rankStep spreads the VMs that look for a leader, so that the first is done
-	// before the second reads the store.
-	rankStep = 40 * time.Millisecond
-	// maxRankDelay bounds that delay.
-	maxRankDelay = 400 * time.Millisecond
+	// storeBackGrace is the time after the return of the store to a VM in which a
+	// leader that had lost it too is expected to find it again: a write that
+	// hangs, and the pause after it.
+	storeBackGrace = 2 * time.Second
+	// rankStep spreads the first VMs that look for a leader, so that one is done
+	// before the next reads the store; lateStep spreads those after firstRanks.
+	rankStep   = 40 * time.Millisecond
+	lateStep   = 10 * time.Millisecond
+	firstRanks = 10
+	// smallDelay is how much later a VM looks that others outrank: time for
+	// several of those to look first.
+	smallDelay = 500 * time.Millisecond
+	// outrankedBy is how much more processor another VM has to have, at least, for
+	// it to lead instead.
+	outrankedBy = 2
+	// settledAfter is how long a VM must have followed before the lead is left to it.
+	settledAfter = 3 * time.Second
+	// startSpread and startSmall bound the delay of a VM that knows no others.
+	startSpread = 100 * time.Millisecond
+	startSmall  = 200 * time.Millisecond
 	// lookMin and lookMax bound the pause between two reads of the record.
 	lookMin = 150 * time.Millisecond
 	lookMax = 900 * time.Millisecond
@@ -34,6 +49,9 @@
 	// yielding is set if the leader has said that it is stopping or cannot
 	// reach the store.
 	yielding bool
+	// storeBack is set if the leader yields for want of the store alone and this
+	// VM has been without it until lately.
+	storeBack bool
 	// asked and deaf count the VMs that were asked and those that do not hear
 	// the leader either; known counts all other VMs.
 	known, asked, deaf int
@@ -47,6 +65,8 @@
 // the leader. A leader that only this VM cannot hear is left in place.
 func mayTakeOver(e evidence) (bool, string) {
 	switch {
+	case e.yielding && e.storeBack:
+		return false, "store-is-back"
 	case e.yielding:
 		return true, "leader-yields"
 	case e.asked > e.deaf:
@@ -63,10 +83,61 @@
 	return false, "too-early"
 }
 
-// rankDelay is how long a VM waits before it looks for a new leader. VMs with
-// more processor come first, since a leader needs more than others.
-func rankDelay(self fleet.Member, processor float64, term uint64) time.Duration {
-	spread := time.Duration(xxh3.HashStringSeed(self.VM, term)%10) * rankStep / 2
-	slow := time.Duration((1 - min(processor, 1)) * float64(5*rankStep))
-	return min(spread+slow, maxRankDelay)
+// rankDelay is how long a VM waits before it looks for a new leader. A leader
+// takes the reports of all VMs and gives out all permits, so those with more
+// processor come first; equal ones are in an order that changes with the term.
+func rankDelay(self fleet.Member, view *fleet.View) time.Duration {
+	if len(view.Members) <= 1 {
+		return startDelay(self)
+	}
+	ahead, small := 0, false
+	for vm, m := range view.Members {
+		if vm == self.VM || vm == view.Leader.VM {
+			continue
+		}
+		small = small || outranks(m, self)
+		if ranksBefore(m, self, view.Term) {
+			ahead++
+		}
+	}
+	delay := time.Duration(min(ahead, firstRanks))*rankStep + time.Duration(max(ahead-firstRanks, 0))*lateStep
+	if small {
+		delay += smallDelay
+	}
+	return delay
+}
+
+// startDelay is rankDelay for a VM that knows no others yet.
+func startDelay(self fleet.Member) time.Duration {
+	share := min(float64(self.Processor)/1000, 1)
+	spread := float64(xxh3.HashString(self.VM)%10) / 10
+	return time.Duration(spread*float64(startSpread) + (1-share)*float64(startSmall))
+}
+
+// ranksBefore reports whether one VM looks for a leader before another.
+func ranksBefore(a, b fleet.Member, term uint64) bool {
+	if a.Processor != b.Processor {
+		return a.Processor > b.Processor
+	}
+	first, second := xxh3.HashStringSeed(a.VM, term), xxh3.HashStringSeed(b.VM, term)
+	return first < second || first == second && a.VM < b.VM
+}
+
+// outranks reports whether a VM should lead rather than another.
+func outranks(a, b fleet.Member) bool {
+	return a.Processor > 0 && a.Processor >= outrankedBy*b.Processor
+}
+
+// outranked reports whether the lead is to be left to a VM that can do more and
+// has followed for a while.
+func (l *leadership) outranked(now time.Time) bool {
+	if now.Sub(l.since) < settledAfter {
+		return false
+	}
+	for _, m := range l.members {
+		if outranks(m.Member, l.record.Leader) && now.Sub(m.joinedAt) > settledAfter && now.Sub(m.heardAt) < silentAfter {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/process/coordinator/keeper.go
+++ b/internal/process/coordinator/keeper.go
@@ -14,6 +14,11 @@
 	usualHold = 3 * time.Second
 	// renewEvery is the interval of renewals, a quarter of usualHold.
 	renewEvery = 750 * time.Millisecond
+	// renewalsAtOnce is the number of renewals that a target gets at the same time,
+	// so that they share two connections; one that is later than renewSlack does
+	// not wait for the others.
+	renewalsAtOnce = 2
+	renewSlack     = renewEvery
 	// clockSlack is how much slower a target's clock may run.
 	clockSlack = 0.03
 	// holdMargin covers the way of a grant and the timers of both sides.
@@ -231,7 +236,7 @@
 	if k.ordering[t.order] || k.gone[t.target] || now.Before(k.retryAt[t.order]) {
 		return tasks
 	}
-	if !t.release && t.slice.Ready && now.Before(k.renewAt[idOf(&t.slice)]) {
+	if !t.release && t.slice.Ready && k.renewsLater(t, now) {
 		return tasks
 	}
 	k.ordering[t.order] = true
@@ -239,6 +244,15 @@
 	return append(tasks, t)
 }
 
+// renewsLater reports whether the renewal of a grant can wait.
+func (k *keeper) renewsLater(t task, now time.Time) bool {
+	at := k.renewAt[idOf(&t.slice)]
+	if now.Before(at) {
+		return true
+	}
+	return k.underWay[t.target] >= renewalsAtOnce && now.Before(at.Add(renewSlack))
+}
+
 // find returns the slice that an order is about, or nil if it has changed.
 func (k *keeper) find(o order) *fleet.Slice {
 	list := k.slices[o.service]
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -66,8 +66,8 @@
 	pushAt  time.Time
 	writing bool
 	// writes numbers the writes of the record, also those that failed.
-	writes uint64
-	planAt time.Time
+	writes         uint64
+	planAt, tidyAt time.Time
 }
 
 // takeOver writes this VM into the record and leads if that succeeds.
@@ -108,7 +108,7 @@
 	}
 	for name, m := range view.Members {
 		if name != record.Leader.VM {
-			l.members[name] = &member{Member: m, heardAt: now}
+			l.members[name] = &member{Member: m, joinedAt: now, heardAt: now}
 		}
 	}
 	return l
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -50,7 +50,7 @@
 		c.publishObserved()
 	}
 	if c.lookAt.IsZero() {
-		c.lookAt = now.Add(rankDelay(c.config.Self, c.config.Processor, c.view.Term))
+		c.lookAt = now.Add(rankDelay(c.config.Self, c.view))
 		c.lookPause = lookMin
 	}
 	if !c.looking && !now.Before(c.lookAt) {
@@ -62,7 +62,7 @@
 func (c *Coordinator) report(now time.Time) {
 	c.reportAt = now.Add(c.reportInterval())
 	c.config.Sender.Send(c.view.Leader.VM, &peerv1.Control{Kind: &peerv1.Control_MemberReport{MemberReport: &peerv1.MemberReport{
-		Term: c.view.Term, Address: c.config.Self.Address, Have: c.have,
+		Term: c.view.Term, Address: c.config.Self.Address, ProcessorMillis: c.config.Self.Processor, Have: c.have,
 	}}})
 }
 
@@ -93,9 +93,10 @@
 			Uint64("term_before", view.Term).Str("leader_before", view.Leader.VM).Send()
 	}
 	view.Term = state.Term
-	view.Leader = fleet.Member{VM: state.Leader.Vm, Incarnation: state.Leader.Incarnation, Address: state.Leader.Address}
+	view.Leader = memberFromWire(state.Leader)
 	c.heard(now)
-	c.yielding = state.StoreLost || state.Leaving
+	c.lacksStore = state.StoreLost && !state.Leaving
+	c.yielding = state.StoreLost || state.Leaving || state.Outranked && outranks(c.config.Self, view.Leader)
 	if changed {
 		c.takeParts(&view, state, now)
 		c.publish(&view)
@@ -245,11 +246,15 @@
 	case fault.Is(err, fault.NotFound):
 		c.takeOver(&fleet.Record{}, 0, "no-record", true)
 	case err != nil:
+		c.storeFailedAt = now
 		events.RecordUnreadable.Log(c.config.Logger).Err(err).Uint64("term", c.view.Term).Dur("silent", e.silentFor).Send()
 	case record.Term > c.view.Term && !e.ended:
 		c.follow(record, now)
 	default:
 		e.unchangedFor = c.unchangedFor(revision, now)
+		// The leader may have said otherwise during the look.
+		e.yielding = e.yielding && c.yielding
+		e.storeBack = c.lacksStore && now.Sub(c.storeFailedAt) < storeBackGrace
 		may, why := mayTakeOver(e)
 		events.LeaderMissed.Log(c.config.Logger).Uint64("term", record.Term).Str("leader", record.Leader.VM).
 			Dur("silent", e.silentFor).Int("known", e.known).Int("asked", e.asked).Int("deaf", e.deaf).
--- a/internal/process/coordinator/parts.go
+++ b/internal/process/coordinator/parts.go
@@ -22,7 +22,7 @@
 	// detailPause is the time between two sendings of the owners of keys, or of
 	// the VMs, to one VM; largePause is the same in a large fleet. The broker
 	// knows the owners at once; others use them only while they do not reach it.
-	detailPause = 200 * time.Millisecond
+	detailPause = time.Second
 	largePause  = 2 * time.Second
 )
 
--- a/internal/process/coordinator/parts_test.go
+++ b/internal/process/coordinator/parts_test.go
@@ -86,6 +86,7 @@
 	}{
 		"heard":                           {evidence{silentFor: silentAfter / 2}, false},
 		"yields":                          {evidence{yielding: true}, true},
+		"lost a store that is just back":  {evidence{yielding: true, storeBack: true}, false},
 		"its process is gone":             {evidence{ended: true, silentFor: silent}, true},
 		"refused here, heard elsewhere":   {evidence{ended: true, silentFor: silent, known: 5, asked: 3, deaf: 2}, false},
 		"nobody hears it":                 {evidence{silentFor: silent, known: 5, asked: 3, deaf: 3}, true},
@@ -116,3 +117,40 @@
 	assert.Equal(t, len(k.renewAt), 1)
 	assert.Equal(t, len(k.readySince), 1)
 }
+
+// TestRenewalsShareConnections: a target with many slices gets its renewals a few
+// at a time, and all of them in time.
+func TestRenewalsShareConnections(t *testing.T) {
+	const slices = 24
+	owner := fleet.Life{ID: "a", Born: 1}
+	var list []fleet.Slice
+	for i := range slices {
+		list = append(list, fleet.Slice{First: uint16(i * 10), Last: uint16(i*10 + 9), Owner: owner, Fence: uint64(i + 1), Ready: true})
+	}
+	k := newKeeper(map[string][]fleet.Slice{"s": list}, usualHold)
+	now := time.Now()
+	renewed := map[uint64]time.Time{}
+	answer := func(tasks []task) {
+		for _, due := range tasks {
+			if last, known := renewed[due.fence]; known {
+				assert.Assert(t, now.Sub(last) < usualHold/2, "a grant was renewed after %s", now.Sub(last))
+			}
+			renewed[due.fence] = now
+			k.granted(due, true, now)
+		}
+	}
+	answer(k.due(now))
+	most := 0
+	for range 200 {
+		now = now.Add(tickEvery)
+		tasks := k.due(now)
+		most = max(most, len(tasks))
+		answer(tasks)
+	}
+	assert.Equal(t, len(renewed), slices)
+	assert.Assert(t, most <= renewalsAtOnce, "%d renewals at once", most)
+
+	// Renewals that are not answered do not hold up those that are late.
+	now = now.Add(renewEvery + renewSlack)
+	assert.Equal(t, len(k.due(now)), slices)
+}
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -15,7 +15,8 @@
 // member is what the leader knows of another VM.
 type member struct {
 	fleet.Member
-	heardAt time.Time
+	// joinedAt is when the leader first heard of the VM.
+	joinedAt, heardAt time.Time
 	// followedAt is the uptime at which the VM last said that it follows this one.
 	followedAt time.Duration
 	term       uint64
@@ -76,7 +77,7 @@
 	l := c.lead
 	state := &peerv1.FleetState{
 		Term: l.record.Term, Leader: identity(c.config.Self), Versions: l.parts.versions(),
-		StoreLost: l.storeLost, Leaving: c.leaving,
+		StoreLost: l.storeLost, Leaving: c.leaving, Outranked: l.outranked(now),
 	}
 	if m.sent != nil {
 		c.addParts(state, m, now)
@@ -125,7 +126,9 @@
 	}
 	m := l.members[from.VM]
 	if m == nil || m.Incarnation != from.Incarnation {
-		m = &member{Member: fleet.Member{VM: from.VM, Incarnation: from.Incarnation, Address: report.Address}}
+		m = &member{Member: fleet.Member{
+			VM: from.VM, Incarnation: from.Incarnation, Address: report.Address, Processor: report.ProcessorMillis,
+		}, joinedAt: now}
 		l.members[from.VM] = m
 		c.membersChanged()
 	}
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -94,11 +94,15 @@
 func membersFromWire(list *peerv1.MemberList) (map[string]fleet.Member, map[string]string) {
 	members := make(map[string]fleet.Member, len(list.Members))
 	for _, m := range list.Members {
-		members[m.Vm] = fleet.Member{VM: m.Vm, Incarnation: m.Incarnation, Address: m.Address}
+		members[m.Vm] = memberFromWire(m)
 	}
 	return members, list.Brokers
 }
 
+func memberFromWire(m *peerv1.VmIdentity) fleet.Member {
+	return fleet.Member{VM: m.Vm, Incarnation: m.Incarnation, Address: m.Address, Processor: m.ProcessorMillis}
+}
+
 func identity(m fleet.Member) *peerv1.VmIdentity {
-	return &peerv1.VmIdentity{Vm: m.VM, Incarnation: m.Incarnation, Address: m.Address}
+	return &peerv1.VmIdentity{Vm: m.VM, Incarnation: m.Incarnation, Address: m.Address, ProcessorMillis: m.Processor}
 }
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -116,7 +116,7 @@
 	n.cancel = cancel
 	logger := zerolog.New(historyWriter{w}).With().Str("vm", n.incarnation).Logger()
 	n.coordinator = coordinator.New(coordinator.Config{
-		Self:       fleet.Member{VM: name, Incarnation: n.incarnation, Address: name + ":1"},
+		Self:       fleet.Member{VM: name, Incarnation: n.incarnation, Address: name + ":1", Processor: processorOf(name)},
 		RecordName: "own/record", Names: names, Loop: n.loop, Store: nodeStore{n}, Sender: n, Targets: n,
 		LongestHold: 10 * time.Second, Publish: n.publish, Observe: n.observe, Demand: n.demand,
 		Uptime: func() time.Duration { return time.Since(w.began) }, Logger: &logger,
@@ -126,6 +126,14 @@
 	w.nodes[name] = n
 }
 
+// processorOf makes every third VM a large one.
+func processorOf(name string) uint32 {
+	if int(name[len(name)-1])%3 == 0 {
+		return 800
+	}
+	return 112
+}
+
 // historyWriter puts the nodes' logs into the history.
 type historyWriter struct{ world *world }
 
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -51,6 +51,8 @@
 	balancerNotice = 2500 * time.Millisecond
 	// stopMargin is kept free before the platform kills the process.
 	stopMargin = 400 * time.Millisecond
+	// thousandths is the unit in which VMs tell each other their processor.
+	thousandths = 1000
 	// stopPoll is the interval at which the end of work is looked for.
 	stopPoll = 20 * time.Millisecond
 )
@@ -104,7 +106,9 @@
 func New(settings Settings, platform Platform, logger zerolog.Logger) (*Gateway, error) {
 	g := &Gateway{
 		settings: settings, logger: logger, loop: loop.New(), listeners: map[string]net.Listener{},
-		self:    fleet.Member{VM: settings.VM, Incarnation: uuid.NewString(), Address: settings.Peers},
+		self: fleet.Member{
+			VM: settings.VM, Incarnation: uuid.NewString(), Address: settings.Peers, Processor: uint32(settings.Processor * thousandths),
+		},
 		metrics: daemon.NewMetrics(settings.VM, settings.FailureDomain),
 	}
 	g.view.Store(&fleet.View{})
@@ -127,7 +131,7 @@
 		Self: g.self.VM, Broker: broker, Sender: g.transport, View: g.view.Load, Hears: g.hears,
 	})
 	g.coordinator = coordinator.New(coordinator.Config{
-		Self: g.self, Processor: g.settings.Processor,
+		Self:       g.self,
 		RecordName: platform.RecordName, Names: platform.Names, Loop: g.loop, Store: platform.Store,
 		Sender: g.transport, Targets: platform.Targets, LongestHold: g.settings.LongestHold,
 		Publish: g.publish, Observe: g.desk.Observe, Demand: g.desk.Demand, Uptime: uptime, Logger: &g.logger,
--- a/internal/version/fleet/view.go
+++ b/internal/version/fleet/view.go
@@ -65,6 +65,8 @@
 	Incarnation string `json:"incarnation"`
 	// Address is where other VMs connect.
 	Address string `json:"address"`
+	// Processor is the VM's part of a processor, in thousandths of a core.
+	Processor uint32 `json:"processor,omitempty"`
 }
 
 // View is what a VM knows at one moment.
