Relieve all owners beside a hot key, give it to the fastest target, join cold slices

Cause: a plan ended at the first owner that could not be relieved. The owner of a single hot key cannot be, and it is always the busiest, so while one key was hot nothing else was balanced: in TestHotKeyHoldsUpNobody another owner kept 11.5 times what it could do. The unservable demand of that key also raised the mean by which others were judged. Ruled out: the measure of demand (it showed the keys within a second).

Change: owners that cannot be relieved are passed over, all of an owner's slices are tried, a busy key may exceed the mean at its new owner if that evens out the two, and a key that is more than its owner can bear goes to the fastest target (TestHotKeyGoesToTheFastest). Plans may have 40 moves.

Slices were cut at each change of the hot keys and never joined: renewals and the record, which has a limit of 1 MB, grew without bound. Once a second, if nothing else is to be done, cold neighbours of one owner become one slice and narrow cold slices go to a neighbour's owner (TestColdSlicesAreJoined: 60 hot sets one after the other).

--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -14,6 +14,8 @@
 const (
 	// planEvery is the interval at which the owners of keys are reconsidered.
 	planEvery = 250 * time.Millisecond
+	// tidyEvery is the interval at which slices that have cooled down are joined.
+	tidyEvery = time.Second
 	// grantTimeout bounds a grant; releaseTimeout bounds a release, which waits
 	// for the work on the keys.
 	grantTimeout   = 600 * time.Millisecond
@@ -71,7 +73,7 @@
 		if len(current) == 0 {
 			moves = keyspace.Initial(owners)
 		} else {
-			c.config.Demand(service.Name, now, func(load *keyspace.Load) { moves = keyspace.Plan(current, owners, load) })
+			c.config.Demand(service.Name, now, func(load *keyspace.Load) { moves = l.plan(current, owners, load, now) })
 		}
 		if len(moves) > 0 {
 			c.writeMoves(service.Name, current, moves)
@@ -80,6 +82,17 @@
 	}
 }
 
+// plan returns the moves of a service; slices are joined only while nothing else
+// is to be done.
+func (l *leadership) plan(current []fleet.Slice, owners []keyspace.Owner, load *keyspace.Load, now time.Time) []keyspace.Move {
+	moves := keyspace.Plan(current, owners, load)
+	if len(moves) == 0 && !now.Before(l.tidyAt) {
+		l.tidyAt = now.Add(tidyEvery)
+		return keyspace.Tidy(current, owners, load)
+	}
+	return moves
+}
+
 // owners returns the targets of a service with their capacities.
 func (c *Coordinator) owners(service *fleet.Service, now time.Time) []keyspace.Owner {
 	var owners []keyspace.Owner
@@ -128,7 +141,7 @@
 	l := c.lead
 	for _, m := range moves {
 		events.MovePlanned.Log(c.config.Logger).Str("service", service).Int("first", int(m.First)).Int("last", int(m.Last)).
-			Str("to", m.To.ID).Uint64("term", l.record.Term).Int64("revision", l.revision).Send()
+			Str("to", m.To.ID).Bool("joins", m.Joins).Uint64("term", l.record.Term).Int64("revision", l.revision).Send()
 	}
 	// Releases that were answered while the record was written are in the
 	// keeper and not in the record.
--- a/internal/version/keyspace/load.go
+++ b/internal/version/keyspace/load.go
@@ -47,3 +47,23 @@
 	}
 	return float64(sum)
 }
+
+// above returns the sum of what keys of a range have beyond a demand.
+func (l *Load) above(demand float64, first, last uint16) float64 {
+	sum := 0.0
+	for _, value := range l.keys[first : int(last)+1] {
+		sum += max(float64(value)-demand, 0)
+	}
+	return sum
+}
+
+// busiest returns the key of a range with the highest demand.
+func (l *Load) busiest(first, last uint16) (key uint16, demand float64) {
+	key = first
+	for k := int(first); k <= int(last); k++ {
+		if l.keys[k] > l.keys[key] {
+			key = uint16(k)
+		}
+	}
+	return key, float64(l.keys[key])
+}
--- a/internal/version/keyspace/plan.go
+++ b/internal/version/keyspace/plan.go
@@ -16,8 +16,13 @@
 	// aimAt is the utilisation relative to the mean up to which a target is
 	// filled by a move.
 	aimAt = 1.02
-	// maxMoves bounds the moves of one plan.
-	maxMoves = 16
+	// maxMoves bounds the moves of one plan, so that a set of a hundred hot keys is
+	// spread by three plans.
+	maxMoves = 40
+	// fasterBy is how much more an owner must be able to do than another to be
+	// given a key that is more than either can bear; capacities are measured and
+	// vary by a third.
+	fasterBy = 1.6
 	// minPart is the smallest demand worth a move, in seconds of work a second.
 	minPart = 0.05
 )
@@ -34,6 +39,8 @@
 type Move struct {
 	First, Last uint16
 	To          fleet.Life
+	// Joins is set if To holds all of the keys already and their slices become one.
+	Joins bool
 }
 
 // Initial divides all keys by capacity.
@@ -63,8 +70,8 @@
 	return moves
 }
 
-// Plan returns the moves that give the keys of unusable owners to others and
-// relieve the busiest. Slices that are on the move stay as they are.
+// Plan returns the moves that give the keys of unusable owners to others,
+// relieve the busiest, and give keys that no owner can bear to the fastest. Slices that are on the move stay as they are.
 func Plan(current []fleet.Slice, owners []Owner, load *Load) []Move {
 	p := newPlan(current, owners, load)
 	if len(p.owners) == 0 {
@@ -72,6 +79,7 @@
 	}
 	p.rehome()
 	p.balance()
+	p.promote()
 	return p.moves
 }
 
@@ -103,16 +111,18 @@
 
 func newPlan(current []fleet.Slice, owners []Owner, load *Load) *plan {
 	p := &plan{load: load, owners: map[fleet.Life]*share{}}
-	capacity, demand := 0.0, 0.0
+	capacity, demand, most := 0.0, 0.0, 0.0
 	for _, o := range owners {
 		if o.Capacity > 0 {
 			p.owners[o.Life] = &share{Owner: o}
 			capacity += o.Capacity
+			most = max(most, o.Capacity)
 		}
 	}
 	for _, s := range current {
 		d := load.of(s.First, s.Last)
-		demand += d
+		// What nobody can serve of a single key burdens no other owner.
+		demand += d - load.above(most, s.First, s.Last)
 		p.pieces = append(p.pieces, piece{first: s.First, last: s.Last, owner: s.Owner, demand: d, fixed: len(s.From) > 0 || !s.Ready})
 		if o := p.owners[s.Owner]; o != nil {
 			o.demand += d
@@ -128,13 +138,7 @@
 // rehome gives the pieces of owners that are not usable to others, the busiest
 // first, split where one piece is more than an owner should get.
 func (p *plan) rehome() {
-	var orphans []int
-	for i := range p.pieces {
-		if p.owners[p.pieces[i].owner] == nil {
-			orphans = append(orphans, i)
-		}
-	}
-	sort.SliceStable(orphans, func(a, b int) bool { return p.pieces[orphans[a]].demand > p.pieces[orphans[b]].demand })
+	orphans := p.byDemand(func(c *piece) bool { return p.owners[c.owner] == nil })
 	for _, i := range orphans {
 		p.spread(p.pieces[i])
 	}
@@ -155,25 +159,26 @@
 	}
 }
 
-// balance relieves the busiest owners.
+// balance relieves the busiest owners. One that cannot be relieved, such as the
+// owner of a single hot key, does not keep the others from it.
 func (p *plan) balance() {
+	stuck := map[fleet.Life]bool{}
 	for len(p.moves) < maxMoves {
-		from := p.hottest()
+		from := p.hottest(stuck)
 		if from == nil {
 			return
 		}
-		to := p.coldest(from.Life)
-		if to == nil || !p.relieve(from, to) {
-			return
+		if to := p.coldest(from.Life); to == nil || !p.relieve(from, to) {
+			stuck[from.Life] = true
 		}
 	}
 }
 
 // hottest returns the owner to relieve, or nil.
-func (p *plan) hottest() *share {
+func (p *plan) hottest(stuck map[fleet.Life]bool) *share {
 	var found *share
 	for _, o := range p.owners {
-		if found == nil || o.utilisation() > found.utilisation() {
+		if !stuck[o.Life] && (found == nil || o.utilisation() > found.utilisation()) {
 			found = o
 		}
 	}
@@ -186,6 +191,60 @@
 	return found
 }
 
+// promote gives keys that alone are more than their owner can bear to the owner
+// that can do most. That one is relieved of its other keys by the next plan.
+func (p *plan) promote() {
+	for _, i := range p.byDemand(func(c *piece) bool { return !c.fixed }) {
+		from := p.owners[p.pieces[i].owner]
+		if from == nil || p.pieces[i].demand <= from.Capacity || len(p.moves) >= maxMoves {
+			continue
+		}
+		key, demand := p.load.busiest(p.pieces[i].first, p.pieces[i].last)
+		if demand <= from.Capacity {
+			continue
+		}
+		if to := p.fastest(); to != nil && to.Capacity >= fasterBy*from.Capacity {
+			p.move(key, key, demand, from, to)
+			p.pieces[i].fixed = true
+			p.pieces = append(p.pieces, piece{first: key, last: key, owner: to.Life, demand: demand, fixed: true})
+		}
+	}
+}
+
+// fastest returns the owner with the highest capacity among those that have no
+// key alone that is more than they can bear; nil if there is none.
+func (p *plan) fastest() *share {
+	taken := map[fleet.Life]bool{}
+	for i := range p.pieces {
+		c := &p.pieces[i]
+		if o := p.owners[c.owner]; o != nil && c.first == c.last && c.demand > o.Capacity {
+			taken[c.owner] = true
+		}
+	}
+	var found *share
+	for _, o := range p.owners {
+		if taken[o.Life] {
+			continue
+		}
+		if found == nil || o.Capacity > found.Capacity || o.Capacity == found.Capacity && o.ID < found.ID {
+			found = o
+		}
+	}
+	return found
+}
+
+// byDemand returns the indexes of some pieces, the busiest first.
+func (p *plan) byDemand(of func(*piece) bool) []int {
+	var found []int
+	for i := range p.pieces {
+		if of(&p.pieces[i]) {
+			found = append(found, i)
+		}
+	}
+	sort.SliceStable(found, func(a, b int) bool { return p.pieces[found[a]].demand > p.pieces[found[b]].demand })
+	return found
+}
+
 // anyEmpty reports whether an owner has no keys yet.
 func (p *plan) anyEmpty() bool {
 	for _, o := range p.owners {
@@ -222,52 +281,79 @@
 		// A target without keys serves nobody, however little there is to do.
 		excess, least = max(excess, even/2), 0
 	}
-	if excess < least {
-		return false
-	}
-	best := -1
-	for i := range p.pieces {
-		if p.pieces[i].owner != from.Life || p.pieces[i].fixed {
-			continue
+	candidates := p.byDemand(func(c *piece) bool { return c.owner == from.Life && !c.fixed })
+	if excess >= least {
+		for _, i := range candidates {
+			if p.cutFrom(i, excess, least, from, to) {
+				return true
+			}
 		}
-		if best < 0 || p.pieces[i].demand > p.pieces[best].demand {
-			best = i
+	}
+	// The busiest keys may be more than what fits below the mean.
+	for _, i := range candidates {
+		cut, ok := p.shortest(p.pieces[i], even)
+		if whole := cut.first == p.pieces[i].first && cut.last == p.pieces[i].last; ok && (!whole || from.pieces > 1) {
+			p.cut(i, cut, from, to)
+			return true
 		}
 	}
-	if best < 0 {
-		return false
+	return false
+}
+
+// shortest returns the shortest end of a piece that is worth a move; false if
+// that has more than the demand.
+func (p *plan) shortest(source piece, demand float64) (piece, bool) {
+	head := piece{first: source.first, last: source.first, demand: float64(p.load.keys[source.first])}
+	for head.demand < minPart && head.last < source.last {
+		head.last++
+		head.demand += float64(p.load.keys[head.last])
 	}
-	return p.cutFrom(best, excess, least, from, to)
+	tail := piece{first: source.last, last: source.last, demand: float64(p.load.keys[source.last])}
+	for tail.demand < minPart && tail.first > source.first {
+		tail.first--
+		tail.demand += float64(p.load.keys[tail.first])
+	}
+	cut := head
+	if tail.demand < head.demand {
+		cut = tail
+	}
+	return cut, cut.demand >= minPart && cut.demand <= demand
 }
 
 // cutFrom moves the end of a piece that comes closest to the excess.
 func (p *plan) cutFrom(i int, excess, least float64, from, to *share) bool {
-	source := &p.pieces[i]
+	source := p.pieces[i]
 	if source.demand <= excess*1.1 && from.pieces > 1 {
-		source.fixed = true
-		p.move(source.first, source.last, source.demand, from, to)
-		source.owner = to.Life
+		p.cut(i, source, from, to)
 		return true
 	}
-	head, headOK := p.prefix(*source, excess, least)
-	tail, tailOK := p.suffix(*source, excess, least)
-	cut, ok := head, headOK
-	if tailOK && (!headOK || tail.demand > head.demand) {
-		cut, ok = tail, true
-	}
-	if !ok {
-		return false
-	}
-	moved := piece{first: cut.first, last: cut.last, owner: to.Life, demand: cut.demand, fixed: true}
-	if cut.first == source.first {
-		source.first = cut.last + 1
-	} else {
-		source.last = cut.first - 1
-	}
-	source.demand -= cut.demand
-	p.pieces = append(p.pieces, moved)
-	p.move(cut.first, cut.last, cut.demand, from, to)
-	return true
+	head, headOK := p.prefix(source, excess, least)
+	tail, tailOK := p.suffix(source, excess, least)
+	switch {
+	case tailOK && (!headOK || tail.demand > head.demand):
+		p.cut(i, tail, from, to)
+	case headOK:
+		p.cut(i, head, from, to)
+	}
+	return headOK || tailOK
+}
+
+// cut moves an end of a piece, or all of it.
+func (p *plan) cut(i int, end piece, from, to *share) {
+	source := &p.pieces[i]
+	p.move(end.first, end.last, end.demand, from, to)
+	switch {
+	case end.first == source.first && end.last == source.last:
+		source.owner, source.fixed = to.Life, true
+		from.pieces--
+		return
+	case end.first == source.first:
+		source.first = end.last + 1
+	default:
+		source.last = end.first - 1
+	}
+	source.demand -= end.demand
+	p.pieces = append(p.pieces, piece{first: end.first, last: end.last, owner: to.Life, demand: end.demand, fixed: true})
 }
 
 func (p *plan) move(first, last uint16, demand float64, from, to *share) {
@@ -314,7 +400,11 @@
 // nextFence returns a fence above every other.
 func Apply(current []fleet.Slice, moves []Move, nextFence func() uint64) []fleet.Slice {
 	for _, m := range moves {
-		current = applyOne(current, m, nextFence())
+		if m.Joins {
+			current = joinSlices(current, m, nextFence())
+		} else {
+			current = applyOne(current, m, nextFence())
+		}
 	}
 	return current
 }
--- a/internal/version/keyspace/plan_test.go
+++ b/internal/version/keyspace/plan_test.go
@@ -84,8 +84,11 @@
 
 func (w *world) rounds(count int, list []keyspace.Owner, demand func(key int) float64) (moves int) {
 	load := loadOf(time.Now(), demand)
-	for range count {
+	for i := range count {
 		plan := keyspace.Plan(w.slices, list, load)
+		if len(plan) == 0 && i%4 == 3 {
+			plan = keyspace.Tidy(w.slices, list, load)
+		}
 		moves += len(plan)
 		w.apply(plan)
 		w.settle()
@@ -144,6 +147,124 @@
 	assert.Assert(t, moved <= 2, "%d more moves after six plans", moved)
 }
 
+// besides returns the demand of the keys that share an owner with a key, and the
+// highest utilisation of the other owners.
+func (w *world) besides(key uint16, list []keyspace.Owner, demand func(key int) float64) (shared, highest float64) {
+	by := map[fleet.Life]float64{}
+	for _, s := range w.slices {
+		for k := int(s.First); k <= int(s.Last); k++ {
+			by[s.Owner] += demand(k)
+		}
+	}
+	holder := fleet.Find(w.slices, key).Owner
+	for _, o := range list {
+		if o.Life != holder {
+			highest = max(highest, by[o.Life]/o.Capacity)
+		}
+	}
+	return by[holder] - demand(int(key)), highest
+}
+
+// TestHotKeyHoldsUpNobody: one key is asked for more than ten owners could bear.
+// A hot set that then appears elsewhere is spread within a second all the same,
+// and the keys beside the hot one go to other owners.
+func TestHotKeyHoldsUpNobody(t *testing.T) {
+	const hot = 5010
+	list := owners(40)
+	w := &world{}
+	w.apply(keyspace.Initial(list))
+	w.settle()
+	demand := func(set int) func(int) float64 {
+		return func(key int) float64 {
+			switch {
+			case key == hot:
+				return 24
+			case key >= set && key < set+60:
+				return 0.5
+			}
+			return 10.0 / fleet.Keys
+		}
+	}
+	for _, set := range []int{5000, 30000, 5020} {
+		w.rounds(4, list, demand(set))
+		w.check(t)
+		shared, highest := w.besides(hot, list, demand(set))
+		assert.Check(t, highest <= 0.75, "set at %d: an owner has %f of what it can do, the mean is 0.5", set, highest)
+		assert.Check(t, shared < 0.2, "set at %d: demand of %f shares the owner of the hot key", set, shared)
+	}
+}
+
+// TestHotKeyGoesToTheFastest: a key that is asked for more than its owner can
+// bear is served best by the target that does most.
+func TestHotKeyGoesToTheFastest(t *testing.T) {
+	const hot = 700
+	list := owners(8)
+	list[5].Capacity = 4
+	w := &world{}
+	w.apply(keyspace.Initial(list))
+	w.settle()
+	demand := func(key int) float64 {
+		if key == hot {
+			return 9
+		}
+		return 3.0 / fleet.Keys
+	}
+	w.rounds(4, list, demand)
+	w.check(t)
+	assert.Equal(t, fleet.Find(w.slices, hot).Owner, list[5].Life)
+	moved := w.rounds(6, list, demand)
+	assert.Assert(t, moved <= 2, "%d more moves after four plans", moved)
+}
+
+// TestColdSlicesAreJoined: a hot set that moves around for a long time leaves no
+// more slices behind than a few for each owner, and calm keys stay where they are.
+func TestColdSlicesAreJoined(t *testing.T) {
+	list := owners(14)
+	w := &world{}
+	w.apply(keyspace.Initial(list))
+	w.settle()
+	demand := func(set int) func(int) float64 {
+		return func(key int) float64 {
+			if key >= set && key < set+60 {
+				return 0.2
+			}
+			return 2.0 / fleet.Keys
+		}
+	}
+	most := 0
+	for i := range 60 {
+		w.rounds(20, list, demand(i*7919%65000))
+		w.check(t)
+		most = max(most, len(w.slices))
+	}
+	assert.Check(t, most <= 14*12, "%d slices", most)
+	w.rounds(120, list, even)
+	assert.Check(t, len(w.slices) <= 2*14, "%d slices after a calm time", len(w.slices))
+	assert.Equal(t, w.rounds(10, list, even), 0)
+}
+
+// TestJoinedSlicesAreHeldByOneOwner: slices are not joined if that has changed
+// since the plan.
+func TestJoinedSlicesAreHeldByOneOwner(t *testing.T) {
+	a, b := fleet.Life{ID: "a"}, fleet.Life{ID: "b"}
+	join := keyspace.Move{First: 0, Last: 99, To: a, Joins: true}
+	two := func(second fleet.Slice) []fleet.Slice {
+		second.First, second.Last = 50, 99
+		return []fleet.Slice{{First: 0, Last: 49, Owner: a, Fence: 3, Ready: true}, second, {First: 100, Last: 65535, Owner: b, Fence: 1, Ready: true}}
+	}
+	joined := keyspace.Apply(two(fleet.Slice{Owner: a, Fence: 4, Ready: true}), []keyspace.Move{join}, func() uint64 { return 9 })
+	assert.Equal(t, len(joined), 2)
+	assert.DeepEqual(t, joined[0], fleet.Slice{First: 0, Last: 99, Owner: a, Fence: 9, Ready: true})
+	for _, second := range []fleet.Slice{
+		{Owner: b, Fence: 4, Ready: true},
+		{Owner: a, Fence: 4, From: []fleet.Life{b}},
+		{Owner: a, Fence: 4},
+	} {
+		current := two(second)
+		assert.DeepEqual(t, keyspace.Apply(current, []keyspace.Move{join}, func() uint64 { return 9 }), current)
+	}
+}
+
 // TestLeavingOwnerIsEmptied in one plan, spread over the others.
 func TestLeavingOwnerIsEmptied(t *testing.T) {
 	list := owners(8)
