Keep calm requests near and on open connections

Cause: a target was preferred over one with an open connection, or one in the same failure domain, if it was 4 ms quicker. Work takes 36 to 260 ms and targets differ by a factor of two, so that decided little: about half of the requests of the grown sites opened a connection, and two thirds crossed domains.

Change: while a service has free slots, a target must be quicker by up to 0.4 of the mean work, less as the service fills.

--- a/internal/request/admission/choice.go
+++ b/internal/request/admission/choice.go
@@ -80,11 +80,12 @@
 	}
 	var best *target
 	var bestCost time.Duration
+	detour := p.detour(r)
 	for _, t := range p.targets {
 		if !p.open(t, now) || !p.fits(r, t, now) {
 			continue
 		}
-		if cost := p.cost(r, t, now); best == nil || cost < bestCost {
+		if cost := p.cost(r, t, detour, now); best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
 	}
@@ -102,14 +103,32 @@
 	return t.FailureDomain == r.Domain || !now.Before(r.localUntil)
 }
 
+// detour is how much quicker a target must be to be worth another connection or
+// the way to another failure domain. A service with free slots has time to save
+// both; a busy one sends its requests to whoever is quickest.
+func (p *pool) detour(r *Request) time.Duration {
+	running, slots := 0, 0
+	for _, t := range p.targets {
+		if t.usable {
+			running += t.running
+			slots += t.Slots
+		}
+	}
+	if running >= slots {
+		return 0
+	}
+	free := 1 - float64(running)/float64(slots)
+	return seconds(detourShare * free * p.classWork(r.Class, 0))
+}
+
 // cost ranks the targets for a request.
-func (p *pool) cost(r *Request, t *target, now time.Time) time.Duration {
+func (p *pool) cost(r *Request, t *target, detour time.Duration, now time.Time) time.Duration {
 	cost := time.Duration(float64(p.takes(r, t, now)) * (1 + failurePenalty*t.failures))
 	if t.FailureDomain != r.Domain {
-		cost += crossDomain
+		cost += crossDomain + detour
 	}
 	if !t.connected(r.ID.VM, now) {
-		cost += connecting
+		cost += connecting + detour
 	}
 	return cost
 }
--- a/internal/request/admission/load_test.go
+++ b/internal/request/admission/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sort"
 	"testing"
 	"time"
 
@@ -26,6 +27,42 @@
 	assert.Assert(t, p.share(every, (*played).inAim) > 0.99, "%f", p.share(every, (*played).inAim))
 }
 
+// TestCalmLoadStaysNearby: at a third of the capacity requests stay in their
+// failure domain and on the connections that there are, although targets in the
+// other domain are quicker, and still meet their aim. A busy service uses all.
+func TestCalmLoadStaysNearby(t *testing.T) {
+	nearby := func(perS float64) (inDomain, connected, inAim float64) {
+		p := newPlay(usual(), fleetOf(fleet.Service{Name: "s"}, 16))
+		p.vms = 10
+		p.slowness = func(target string, _ time.Time) float64 {
+			if p.view.Targets[target].FailureDomain == "a" {
+				return 1.15
+			}
+			return 0.95
+		}
+		p.arrive(with(browse, perS), 0, 20*time.Second)
+		p.until(21 * time.Second)
+		used := map[string]time.Time{}
+		sort.Slice(p.done, func(i, j int) bool { return p.done[i].startedAt.Before(p.done[j].startedAt) })
+		reused := func(r *played) bool {
+			pair := r.ID.VM + ">" + r.target
+			last, known := used[pair]
+			used[pair] = r.startedAt
+			return known && r.startedAt.Sub(last) < 7*time.Second
+		}
+		served := func(r *played) bool { return r.refused == "" }
+		return p.share(served, func(r *played) bool { return p.view.Targets[r.target].FailureDomain == "a" }),
+			p.share(served, reused), p.share(every, (*played).inAim)
+	}
+	inDomain, connected, inAim := nearby(16 * 2 / 0.060 / 3 / 2)
+	assert.Check(t, inDomain > 0.95, "%f stayed in their failure domain", inDomain)
+	assert.Check(t, connected > 0.9, "%f had a connection", connected)
+	assert.Check(t, inAim > 0.99, "%f in aim", inAim)
+	inDomain, _, inAim = nearby(16 * 2 / 0.060 * 0.8)
+	assert.Check(t, inDomain < 0.7, "%f stayed in their failure domain under load", inDomain)
+	assert.Check(t, inAim > 0.95, "%f in aim under load", inAim)
+}
+
 // TestOverloadKeepsCapacityForAims: at one and a half times the capacity, what
 // can be served is served in aim, not late.
 func TestOverloadKeepsCapacityForAims(t *testing.T) {
--- a/internal/request/admission/pool.go
+++ b/internal/request/admission/pool.go
@@ -27,6 +27,9 @@
 	// which the VM has a connection: opening one takes a round trip and a slot for
 	// a moment, and targets bear a limited number.
 	connecting = 4 * time.Millisecond
+	// detourShare is the share of the mean work that a target nearby, or one to
+	// which there is a connection, may take longer while all slots are free.
+	detourShare = 0.4
 	// localShare is the share of the spare time before its aim that a large
 	// request waits for a target of its own failure domain.
 	localShare = 0.5
