Do not take a refused connection for an ended process without a witness near it

The leader counted two refused orders as the end of a target and gave its keys away while the target held them. VMs inside the cut took the leader's refused port for its end and took the lead, and the leader's side took it back: four terms in four seconds. Ruled out: late orders, the record (each leader wrote its moves first).

Change: - A refused port is closed only if a VM in the same failure domain was refused too, another one besides, and nobody got through (witness.go, event 4114). Otherwise the grants have to run out. - A VM takes over from a leader that it does not hear only if most of nine others do not either; those that do not answer no longer count for it. Heartbeats carry the number of the last write of the record: a leader that goes on writing is cut off from this VM, not lost. - The lead counts as certainly ended only if another incarnation answers in its place.

TestDomainCutOff cuts a domain off with and without the leader in it, dropping or refusing; with the former inference keys got two owners. Random worlds cut domains too, and found a second fault: grants sent to a target that had started again unnoticed, with the store away, were not counted for the new life, so that a move did not wait for them (TestNextLifeMayHoldGrants).

--- a/internal/process/events/ownership.go
+++ b/internal/process/events/ownership.go
@@ -36,4 +36,5 @@
 	MovesNotWritten  = register(4111, "moves-not-written", zerolog.WarnLevel, "Moves could not be written into the record and did not begin.")
 	OrderDone        = register(4112, "order-done", zerolog.InfoLevel, "A target has answered a grant or a release, or failed to. Renewals without news are not logged.")
 	GrantsRanOut     = register(4113, "grants-ran-out", zerolog.InfoLevel, "A former owner did not answer; its grants have run out, so the keys go to the next owner.")
+	TargetEndChecked = register(4114, "target-end-checked", zerolog.InfoLevel, "A target's port refuses connections; VMs near it and elsewhere were asked whether it has ended.")
 )
--- a/internal/process/events/process.go
+++ b/internal/process/events/process.go
@@ -8,4 +8,6 @@
 	DaemonStopping  = register(1002, "daemon-stopping", zerolog.InfoLevel, "A graceful stop has begun; the VM takes no new work.")
 	DaemonStopped   = register(1003, "daemon-stopped", zerolog.InfoLevel, "The last request in flight has ended and the daemon exits.")
 	LogLinesDropped = register(1004, "log-lines-dropped", zerolog.WarnLevel, "The log's output did not take lines fast enough; so many were dropped since the last line of this kind.")
+	SettingsRead    = register(1005, "settings-read", zerolog.InfoLevel, "The settings file was read again on SIGHUP; what differs counts from the next start.")
+	SettingsInvalid = register(1006, "settings-invalid", zerolog.WarnLevel, "The settings file cannot be used as it is now; the daemon goes on, but would not start again.")
 )
