Learn for how long targets keep idle connections

Cause: a target that forgets idle connections without notice resets the next request on one, and a request that is not idempotent is lost with it.

--- a/internal/connection/target/connection.go
+++ b/internal/connection/target/connection.go
@@ -20,8 +20,11 @@
 	// the value holds for as long as the connection works.
 	incarnation string
 	idleSince   time.Time
-	closeOnce   sync.Once
-	onClose     func()
+	// idle is how long the connection was idle before its present use; 0 for a
+	// new one.
+	idle      time.Duration
+	closeOnce sync.Once
+	onClose   func()
 }
 
 // countingSocket counts the bytes that the kernel has accepted for sending. One
--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -102,6 +104,9 @@
 	}
 	response, err := r.readOwnHead(request)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNRESET) {
+			r.pool.form.Idle.dropped(r.connection.idle, time.Now())
+		}
 		return nil, r.sender.explain(err)
 	}
 	if defect, err := r.check(response); err != nil {
--- a/internal/connection/target/form.go
+++ b/internal/connection/target/form.go
@@ -17,6 +17,8 @@
 	DialTimeout time.Duration
 	// MaxIdle closes an idle connection before a target is likely to do so.
 	MaxIdle time.Duration
+	// Idle, if set, is the limit learnt for all targets that share it.
+	Idle *IdleLimit
 }
 
 // OwnForm is the form of docs/TARGETS.md.
--- /dev/null
+++ b/internal/connection/target/idle_test.go
@@ -0,0 +1,82 @@
+package target_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
+)
+
+// forgetful serves connections and resets one that was idle for longer than a
+// limit, only once the next request arrives on it. It returns its address.
+func forgetful(t *testing.T, limit time.Duration) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveForgetful(socket.(*net.TCPConn), limit)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func serveForgetful(socket *net.TCPConn, limit time.Duration) {
+	defer socket.Close()
+	reader := bufio.NewReader(socket)
+	var answered time.Time
+	for ; ; answered = time.Now() {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if !answered.IsZero() && time.Since(answered) > limit {
+			_ = socket.SetLinger(0)
+			return
+		}
+		_, err = fmt.Fprintf(socket, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+			target.HeaderRequestID, request.Header.Get(target.HeaderRequestID))
+		if err != nil {
+			return
+		}
+	}
+}
+
+// TestIdleTimeIsLearnt: once two connections turned out to be forgotten, requests
+// to all targets that share the limit avoid idle ones, and lose no answer.
+func TestIdleTimeIsLearnt(t *testing.T) {
+	const forgets, pause = 100 * time.Millisecond, 150 * time.Millisecond
+	form := target.OwnForm
+	form.Probe, form.Idle = false, &target.IdleLimit{}
+	first, second := target.NewPoolOf(forgetful(t, forgets), 4, form), target.NewPoolOf(forgetful(t, forgets), 4, form)
+	defer first.Close()
+	defer second.Close()
+	lost := 0
+	for i := range 8 {
+		for _, pool := range []*target.Pool{first, second} {
+			if _, _, err := exchangeOnce(context.Background(), t, pool, newRequest(fmt.Sprint(i), "", "")); err != nil {
+				lost++
+			}
+		}
+		time.Sleep(pause)
+	}
+	assert.Equal(t, lost, 2, "requests were lost to connections that are known to be forgotten")
+	// Connections in steady use are kept.
+	for i := range 10 {
+		_, _, err := exchangeOnce(context.Background(), t, first, newRequest(fmt.Sprint("busy", i), "", ""))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, first.Open() <= 2, "%d connections", first.Open())
+}
--- a/internal/connection/target/pool.go
+++ b/internal/connection/target/pool.go
@@ -140,7 +140,9 @@
 // usable reports whether an idle connection may be used, and counts a lost one.
 // The lock is held.
 func (p *Pool) usable(c *connection) bool {
-	if time.Since(c.idleSince) >= p.form.MaxIdle {
+	now := time.Now()
+	c.idle = now.Sub(c.idleSince)
+	if c.idle >= p.form.MaxIdle || !p.form.Idle.allows(c.idle, now) {
 		return false
 	}
 	if c.quiet() {
--- a/internal/request/forward/pools.go
+++ b/internal/request/forward/pools.go
@@ -18,11 +18,13 @@
 
 	mu    sync.Mutex
 	pools map[fleet.Life]*target.Pool
+	// idle are the limits of idle connections by service.
+	idle map[string]*target.IdleLimit
 }
 
 // NewPools returns pools of connections of a form.
 func NewPools(form target.Form) *Pools {
-	return &Pools{form: form, pools: map[fleet.Life]*target.Pool{}}
+	return &Pools{form: form, pools: map[fleet.Life]*target.Pool{}, idle: map[string]*target.IdleLimit{}}
 }
 
 // reserve returns a connection to a target.
@@ -30,13 +32,23 @@
 	p.mu.Lock()
 	pool := p.pools[t.Life]
 	if pool == nil || pool.Address() != t.Address {
-		pool = target.NewPoolOf(t.Address, connectionsPerTarget, p.form)
+		pool = target.NewPoolOf(t.Address, connectionsPerTarget, p.formOf(t.Service))
 		p.pools[t.Life] = pool
 	}
 	p.mu.Unlock()
 	return pool.Reserve(ctx)
 }
 
+// formOf returns the form of a service's targets; the lock is held.
+func (p *Pools) formOf(service string) target.Form {
+	if p.idle[service] == nil {
+		p.idle[service] = &target.IdleLimit{}
+	}
+	form := p.form
+	form.Idle = p.idle[service]
+	return form
+}
+
 // Update closes the pools of targets that are gone.
 func (p *Pools) Update(view *fleet.View) {
 	p.mu.Lock()
