Proxy the links between VMs in the soak, restart servers, check drains; read settings on SIGHUP

Clocks are not faulted: the system uses the steady clock alone, which cannot be changed from outside without changing the machine's.

The exit test of the placement shows what was decided if a domain gets too little back.

--- a/cmd/chestnutcoursed/main.go
+++ b/cmd/chestnutcoursed/main.go
@@ -16,6 +16,7 @@
 	"github.com/chestnutcourse/chestnutcourse/internal/process/daemon"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/settings"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/store"
+	"github.com/chestnutcourse/chestnutcourse/platform"
 )
 
 // Exit codes.
@@ -30,8 +31,10 @@
 	runFile := run.Flag("settings", "JSON file with the settings of this daemon (docs/SETTINGS.md).").Required().String()
 	serve := app.Command("serve", "Run the daemon on the users' platform until SIGTERM or SIGINT, then stop gracefully.")
 	serveFile := serve.Flag("settings", "Settings file of the platform.").Envar("CHESTNUTCOURSE_CONFIG").Required().String()
+	serveAdvertise := serve.Flag("advertise", "host:port that other VMs connect to, if it is not the address that this one listens on.").String()
 	check := app.Command("check", "Check a settings file and start nothing.")
-	checkFile := check.Flag("settings", "JSON file to check.").Required().String()
+	checkFile := check.Flag("settings", "File to check.").Required().String()
+	checkPlatform := check.Flag("platform", "The file is one of the platform, for serve, instead of JSON.").Bool()
 	dev := app.Command("dev", "Run a whole deployment in one process, with sample targets, to try things out.")
 	devPort := dev.Flag("port", "Port for callers; the next ones are for operators and peers, and further VMs.").Default("8080").Int()
 
@@ -41,16 +44,20 @@
 	case run.FullCommand():
 		os.Exit(runDaemon(ctx, *runFile))
 	case serve.FullCommand():
-		os.Exit(runOnPlatform(ctx, *serveFile))
+		os.Exit(runOnPlatform(ctx, *serveFile, *serveAdvertise))
 	case check.FullCommand():
-		os.Exit(checkSettings(*checkFile))
+		os.Exit(checkSettings(*checkFile, *checkPlatform))
 	case dev.FullCommand():
 		os.Exit(runDev(ctx, *devPort))
 	}
 }
 
-func checkSettings(path string) int {
-	if _, err := settings.Load(path); err != nil {
+func checkSettings(path string, ofPlatform bool) int {
+	load := func() error { _, err := settings.Load(path); return err }
+	if ofPlatform {
+		load = func() error { _, err := platform.LoadSettings(path); return err }
+	}
+	if err := load(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitInvalid
 	}
--- a/cmd/chestnutcoursed/platform.go
+++ b/cmd/chestnutcoursed/platform.go
@@ -30,8 +30,9 @@
 	collectAt = 50
 )
 
-// runOnPlatform runs the daemon on the users' platform.
-func runOnPlatform(ctx context.Context, path string) int {
+// runOnPlatform runs the daemon on the users' platform. advertised is where other
+// VMs connect, empty for the address that this one listens on.
+func runOnPlatform(ctx context.Context, path, advertised string) int {
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -44,14 +45,13 @@
 	out := daemon.NewLogWriter(os.Stdout)
 	defer out.Close()
 	logger := zerolog.New(out).With().Timestamp().Str("vm", s.VM).Logger()
-	g, err := gateway.New(gatewaySettings(s), platformParts(s, &logger), logger)
+	g, err := gateway.New(gatewaySettings(s, advertised), platformParts(s, &logger), logger)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitInvalid
 	}
-	// The settings that may change at runtime are in the store; a new settings
-	// file counts from the next start.
-	signal.Ignore(syscall.SIGHUP)
+	stopReading := readOnHangUp(path, s, &logger)
+	defer stopReading()
 	if err := g.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
@@ -59,10 +59,32 @@
 	return 0
 }
 
-func gatewaySettings(s *platform.Settings) gateway.Settings {
+// readOnHangUp checks the settings file again on each SIGHUP until the returned
+// function is called. What may change at runtime is in the store, so a change of
+// the file counts from the next start.
+func readOnHangUp(path string, inForce *platform.Settings, logger *zerolog.Logger) (stop func()) {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	go func() {
+		for range hangUps {
+			read, err := platform.LoadSettings(path)
+			if err != nil {
+				events.SettingsInvalid.Log(logger).Err(err).Send()
+				continue
+			}
+			events.SettingsRead.Log(logger).Bool("differs", *read != *inForce).Send()
+		}
+	}()
+	return func() {
+		signal.Stop(hangUps)
+		close(hangUps)
+	}
+}
+
+func gatewaySettings(s *platform.Settings, advertised string) gateway.Settings {
 	return gateway.Settings{
 		VM: s.VM, FailureDomain: s.FailureDomain,
-		Callers: s.CallersAddress, Ready: s.ReadyAddress, Peers: s.PeersAddress, Metrics: s.MetricsAddress,
+		Callers: s.CallersAddress, Ready: s.ReadyAddress, Peers: s.PeersAddress, Advertised: advertised, Metrics: s.MetricsAddress,
 		Deployment: deployment, Processor: s.Processor,
 		Broker: admission.Config{
 			Budget: admission.Budget{
--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -54,6 +54,8 @@
 	Publish func(*fleet.View)
 	// Observe returns what the own broker has measured of a target.
 	Observe func(service, target string) (admission.Observation, bool)
+	// Dial opens and closes a connection to an address.
+	Dial func(ctx context.Context, address string) error
 	// Demand hands out the own broker's measured demand for keys of a service.
 	Demand func(service string, now time.Time, use func(*keyspace.Load))
 	// Uptime is the time since the VM's start, with the time for which it was
@@ -82,6 +84,8 @@
 	storeFailedAt time.Time
 	have          *peerv1.PartVersions
 	lookAt        time.Time
+	// heardWrite is the leader's last write of the record by its own word.
+	heardWrite uint64
 	// seenRevision is the record's revision when it was last read, seenSince when
 	// it was first read at that revision.
 	seenRevision int64
@@ -189,6 +193,8 @@
 		c.handleState(from, kind.FleetState)
 	case *peerv1.Control_LeaderQuery:
 		return &peerv1.Control{Kind: &peerv1.Control_LeaderQueryReply{LeaderQueryReply: c.answerQuery()}}, true
+	case *peerv1.Control_ProbeRequest:
+		go c.answerProbe(from, message.Call, kind.ProbeRequest.Address)
 	default:
 		return nil, false
 	}
--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -238,7 +238,7 @@
 		}
 	}
 	for2s := time.Duration(500+w.random.IntN(4000)) * time.Millisecond
-	kind := w.random.IntN(12)
+	kind := w.random.IntN(14)
 	w.set(func() { w.note("fault %d, %s, %s, %s", kind, name, id, for2s) })
 	switch kind {
 	case 0:
@@ -284,6 +284,9 @@
 	case 11:
 		w.remove("servers/" + id)
 		time.AfterFunc(for2s, func() { w.returnTarget(id) })
+	case 12, 13:
+		w.cutDomain(domainOf(id), 4, 5, kind == 12, true)
+		time.AfterFunc(for2s, func() { w.cutDomain(domainOf(id), 4, 5, kind == 12, false) })
 	}
 }
 
@@ -335,6 +338,7 @@
 	time.Sleep(6 * time.Second)
 	w.set(func() {
 		clear(w.cut)
+		clear(w.refused)
 		w.outage, w.loseAnswers, w.lateOrders = false, 0, 0
 	})
 	for i := range 4 {
@@ -372,6 +376,68 @@
 	}
 }
 
+// cutDomain cuts a failure domain off from the others, or heals the cut. The cut
+// drops packets, or refuses connections.
+func (w *world) cutDomain(domain string, nodes, targets int, refuses, cut bool) {
+	w.set(func() {
+		pairs := w.cut
+		if refuses {
+			pairs = w.refused
+		}
+		for i := range nodes {
+			from := fmt.Sprintf("n%d", i)
+			for _, to := range everybody(nodes, targets) {
+				if (domainOf(from) == domain) != (domainOf(to) == domain) {
+					pairs[from+">"+to] = cut
+				}
+			}
+		}
+	})
+}
+
+func everybody(nodes, targets int) []string {
+	var names []string
+	for i := range nodes {
+		names = append(names, fmt.Sprintf("n%d", i))
+	}
+	for i := range targets {
+		names = append(names, fmt.Sprintf("t%d", i))
+	}
+	return names
+}
+
+// TestDomainCutOff: VMs that are cut off together, with targets near them, while
+// all reach the store. Nobody takes a process beyond the cut for ended, so no key
+// gets two owners, and the part with fewer VMs does not take the lead.
+func TestDomainCutOff(t *testing.T) {
+	const nodes, targets = 12, 9
+	for _, refuses := range []bool{false, true} {
+		for _, withLeader := range []bool{false, true} {
+			t.Run(fmt.Sprintf("refuses %v, leader inside %v", refuses, withLeader), func(t *testing.T) {
+				run(t, seed.Value, nodes, targets, func(w *world) {
+					w.servedWithin(2 * time.Second)
+					time.Sleep(2 * time.Second)
+					leader, _ := w.leader()
+					domain := domainOf(leader)
+					if !withLeader {
+						domain = domainOf(leader + "1")
+					}
+					w.cutDomain(domain, nodes, targets, refuses, true)
+					time.Sleep(3 * time.Second)
+					during, count := w.leader()
+					w.check(count == 1 && domainOf(during) != domain, "%d leaders, %s in domain %s", count, during, domainOf(during))
+					w.check(withLeader || during == leader, "%s leads after %s", during, leader)
+					time.Sleep(3 * time.Second)
+					w.cutDomain(domain, nodes, targets, refuses, false)
+					w.servedWithin(8 * time.Second)
+					after, count := w.leader()
+					w.check(count == 1 && after == during, "%d leaders, %s after %s", count, after, during)
+				})
+			})
+		}
+	}
+}
+
 // TestLargeVMLeads: of VMs of unequal size a large one leads after the loss of the
 // leader, and a small one leaves the lead to a large one that joins.
 func TestLargeVMLeads(t *testing.T) {
--- a/internal/process/coordinator/election.go
+++ b/internal/process/coordinator/election.go
@@ -20,6 +20,12 @@
 	// leader that had lost it too is expected to find it again: a write that
 	// hangs, and the pause after it.
 	storeBackGrace = 2 * time.Second
+	// staleAfter is the same if other VMs do not hear the leader either: two of its
+	// writes are missing.
+	staleAfter = 1300 * time.Millisecond
+	// hearingShare is the part, one in so many, of the VMs that answer which has to
+	// hear a leader for it to stay.
+	hearingShare = 3
 	// rankStep spreads the first VMs that look for a leader, so that one is done
 	// before the next reads the store; lateStep spreads those after firstRanks.
 	rankStep   = 40 * time.Millisecond
@@ -43,46 +49,61 @@
 
 // evidence is what a VM knows about a leader that it does not hear.
 type evidence struct {
-	// ended is set if the leader's process is gone: its port refuses
-	// connections, or another incarnation answers there.
-	ended bool
+	// ended is set if the leader's process is gone: another incarnation answers in
+	// its place (replaced), or its port is closed by the word of VMs near it.
+	ended, replaced bool
 	// yielding is set if the leader has said that it is stopping or cannot
 	// reach the store.
 	yielding bool
 	// storeBack is set if the leader yields for want of the store alone and this
 	// VM has been without it until lately.
 	storeBack bool
-	// asked and deaf count the VMs that were asked and those that do not hear
-	// the leader either; known counts all other VMs.
-	known, asked, deaf int
+	// known counts the other VMs. Of those asked, some answered, and of these some
+	// are deaf: they do not hear the leader either. dead are those whose port
+	// refused the question.
+	known, asked, answered, deaf, dead int
 	// silentFor is how long the leader has not been heard.
 	silentFor time.Duration
+	// written is set if the leader has written the record since it was heard.
+	written bool
 	// unchangedFor is how long the record has been seen unchanged.
 	unchangedFor time.Duration
 }
 
 // mayTakeOver decides whether a VM that has read an unchanged record becomes
-// the leader. A leader that only this VM cannot hear is left in place.
+// the leader. A leader that only a part of the VMs cannot hear is left in place:
+// VMs that are cut off together must not take the lead from the others.
 func mayTakeOver(e evidence) (bool, string) {
+	hearing := e.answered - e.deaf
 	switch {
 	case e.yielding && e.storeBack:
 		return false, "store-is-back"
 	case e.yielding:
 		return true, "leader-yields"
-	case e.asked > e.deaf:
+	case hearing > 0 && hearingShare*hearing >= e.answered:
 		return false, "others-hear"
 	case e.ended:
 		return true, "process-ended"
 	case e.silentFor < silentAfter:
 		return false, "heard"
-	case e.asked > 0 && 2*(e.deaf+1) >= min(e.known, askCount):
+	case e.asked > 0 && 2*(e.deaf+1) > e.voters():
 		return true, "most-do-not-hear"
-	case e.unchangedFor >= aloneAfter:
+	case e.answered > 0 && e.unchangedFor >= staleAfter, e.unchangedFor >= aloneAfter:
 		return true, "record-unchanged"
 	}
 	return false, "too-early"
 }
 
+// voters is the number of VMs, with this one, of which most must not hear the
+// leader. VMs whose port refuses questions count as lost together with the
+// leader, unless that writes the record: then it is this VM that is cut off.
+func (e *evidence) voters() int {
+	if e.written {
+		return e.asked + 1
+	}
+	return e.asked - e.dead + 1
+}
+
 // rankDelay is how long a VM waits before it looks for a new leader. A leader
 // takes the reports of all VMs and gives out all permits, so those with more
 // processor come first; equal ones are in an order that changes with the term.
--- a/internal/process/coordinator/keeper.go
+++ b/internal/process/coordinator/keeper.go
@@ -26,7 +26,7 @@
 	// retryOrder is the pause before an order is repeated that failed.
 	retryOrder = 200 * time.Millisecond
 	// refusalsToEnd is the number of refused connections, one after the other,
-	// that show that a process has ended.
+	// after which it is found out whether a process has ended.
 	refusalsToEnd = 2
 )
 
@@ -57,6 +57,9 @@
 	// gone are lives that are over; they get no more orders, which another life
 	// at the same address would take.
 	gone map[fleet.Life]bool
+	// successors are the next lives of targets that have started again under
+	// their names: grants to a life that is over may have reached the next one.
+	successors map[fleet.Life]fleet.Life
 	// underWay counts the orders to a life that have not ended; late is set if
 	// one ended other than refused after the life was over, so that the next life
 	// at the address may have taken it.
@@ -102,7 +105,8 @@
 		hold:   hold,
 		slices: map[string][]fleet.Slice{}, mayHoldUntil: map[fleet.Life]time.Time{},
 		handovers: map[uint64]string{}, refusals: map[fleet.Life]int{}, gone: map[fleet.Life]bool{},
-		underWay: map[fleet.Life]int{}, late: map[fleet.Life]bool{},
+		successors: map[fleet.Life]fleet.Life{},
+		underWay:   map[fleet.Life]int{}, late: map[fleet.Life]bool{},
 		ordering: map[order]bool{}, retryAt: map[order]time.Time{},
 		renewAt: map[sliceID]time.Time{}, readySince: map[sliceID]time.Time{},
 	}
@@ -163,6 +167,8 @@
 // one may have reached the new one, so that has to release the keys.
 func (k *keeper) startedAgain(former, present fleet.Life) {
 	k.gone[former] = true
+	k.successors[former] = present
+	k.extend(present, k.mayHoldUntil[former])
 	for _, list := range k.slices {
 		for i := range list {
 			if !slices.Contains(list[i].From, former) {
@@ -195,6 +201,13 @@
 	return !k.alone || now.Before(k.heldBefore) || now.Before(k.mayHoldUntil[life])
 }
 
+// extend notes that a target may have a grant in force until a time.
+func (k *keeper) extend(life fleet.Life, until time.Time) {
+	if until.After(k.mayHoldUntil[life]) {
+		k.mayHoldUntil[life] = until
+	}
+}
+
 // expire drops former owners whose grants have run out.
 func (k *keeper) expire(now time.Time) []fleet.Slice {
 	var freed []fleet.Slice
@@ -270,8 +283,10 @@
 	k.orderEnded(t)
 	k.late[t.target] = k.late[t.target] || k.gone[t.target]
 	until := now.Add(longestHeld(k.hold))
-	if until.After(k.mayHoldUntil[t.target]) {
-		k.mayHoldUntil[t.target] = until
+	life, known := t.target, true
+	for known {
+		k.extend(life, until)
+		life, known = k.successors[life]
 	}
 	if !ok {
 		k.retryAt[t.order] = now.Add(retryOrder)
@@ -304,7 +319,7 @@
 }
 
 // refusedConnection counts a refused connection and reports whether the process
-// has ended.
+// may have ended.
 func (k *keeper) refusedConnection(life fleet.Life) bool {
 	k.refusals[life]++
 	return k.refusals[life] >= refusalsToEnd
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -220,8 +220,7 @@
 	case fault.Is(err, fault.NotFound):
 		k.failed(t, now)
 		if k.refusedConnection(t.target) {
-			k.ended(t.target)
-			changed = true
+			c.confirmEnd(t.target)
 		}
 	case t.release && err == nil:
 		changed = k.released(t, handover)
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -61,6 +61,9 @@
 	storeHeardAt time.Time
 	storeLost    bool
 
+	// confirming are the targets of which it is being found out whether they have ended.
+	confirming map[fleet.Life]bool
+
 	declarationsChanged bool
 	// pushAt is when pending changes are passed on; zero if there are none.
 	pushAt  time.Time
@@ -98,7 +101,7 @@
 func newLeadership(record fleet.Record, revision int64, formerEnded bool, view *fleet.View, hold time.Duration, now time.Time) *leadership {
 	l := &leadership{
 		record: record, revision: revision, writes: record.Write, keeper: newKeeper(record.Slices, hold),
-		members: map[string]*member{}, parts: newParts(),
+		members: map[string]*member{}, parts: newParts(), confirming: map[fleet.Life]bool{},
 		since: now, storeHeardAt: now, touchAt: now.Add(touchEvery),
 	}
 	if formerEnded {
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -22,8 +22,9 @@
 	largeFleet = 40
 	// askTimeout bounds the question to another VM whether it hears the leader.
 	askTimeout = 250 * time.Millisecond
-	// askCount is the number of VMs that are asked.
-	askCount = 3
+	// askCount is the number of VMs that are asked: enough that a part of the VMs
+	// that is cut off from the others does not take itself for all.
+	askCount = 9
 	// watchAfter is the time without a word of the leader after which a VM
 	// watches the store itself.
 	watchAfter = 2 * time.Second
@@ -62,7 +63,8 @@
 func (c *Coordinator) report(now time.Time) {
 	c.reportAt = now.Add(c.reportInterval())
 	c.config.Sender.Send(c.view.Leader.VM, &peerv1.Control{Kind: &peerv1.Control_MemberReport{MemberReport: &peerv1.MemberReport{
-		Term: c.view.Term, Address: c.config.Self.Address, ProcessorMillis: c.config.Self.Processor, Have: c.have,
+		Term: c.view.Term, Address: c.config.Self.Address, ProcessorMillis: c.config.Self.Processor,
+		FailureDomain: c.config.Self.FailureDomain, Have: c.have,
 	}}})
 }
 
@@ -95,6 +97,7 @@
 	view.Term = state.Term
 	view.Leader = memberFromWire(state.Leader)
 	c.heard(now)
+	c.heardWrite = state.RecordWrite
 	c.lacksStore = state.StoreLost && !state.Leaving
 	c.yielding = state.StoreLost || state.Leaving || state.Outranked && outranks(c.config.Self, view.Leader)
 	if changed {
@@ -142,7 +145,7 @@
 // look reads the record and decides whether to follow or to take over.
 func (c *Coordinator) look(now time.Time, silent time.Duration) {
 	c.looking = true
-	known, leader, yielding := c.view, c.view.Leader, c.yielding
+	known, leader, yielding, heardWrite := c.view, c.view.Leader, c.yielding, c.heardWrite
 	others := c.others(leader)
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, lookMax)
@@ -156,10 +159,11 @@
 		if record != nil && record.Term == known.Term && record.Leader.Incarnation == leader.Incarnation {
 			// What this VM heard is of the leader that the record still names.
 			e.yielding = yielding
-			e.asked, e.deaf = c.ask(others, known.Term)
+			e.written = record.Write > heardWrite
+			c.ask(&e, others, known.Term)
 		}
 		if record != nil {
-			e.ended = c.ended(record.Leader)
+			e.ended, e.replaced = c.ended(record.Leader, known)
 		}
 		c.config.Loop.Post(func() { c.looked(record, object.Version, err, e) })
 	}()
@@ -176,36 +180,36 @@
 	return found
 }
 
-// ask returns how many of some VMs answered and how many of those do not hear
-// the leader.
-func (c *Coordinator) ask(others []string, term uint64) (asked, deaf int) {
-	answers := make(chan *peerv1.LeaderQueryReply, askCount)
-	count := min(len(others), askCount)
-	for _, vm := range others[:count] {
+// ask asks some VMs whether they hear the leader.
+func (c *Coordinator) ask(e *evidence, others []string, term uint64) {
+	type answer struct {
+		reply *peerv1.LeaderQueryReply
+		err   error
+	}
+	answers := make(chan answer, askCount)
+	e.asked = min(len(others), askCount)
+	for _, vm := range others[:e.asked] {
 		go func() {
 			ctx, cancel := context.WithTimeout(c.ctx, askTimeout)
 			defer cancel()
 			reply, err := c.config.Sender.Call(ctx, vm, &peerv1.Control{
 				Kind: &peerv1.Control_LeaderQuery{LeaderQuery: &peerv1.LeaderQuery{}},
 			})
-			if err != nil {
-				answers <- nil
-				return
-			}
-			answers <- reply.GetLeaderQueryReply()
+			answers <- answer{reply.GetLeaderQueryReply(), err}
 		}()
 	}
-	for range count {
-		reply := <-answers
-		if reply == nil {
-			continue
-		}
-		asked++
-		if reply.Term == term && (reply.HeardMillisAgo < 0 || reply.HeardMillisAgo > silentAfter.Milliseconds()*3/4) {
-			deaf++
+	for range e.asked {
+		a := <-answers
+		switch {
+		case errors.Is(a.err, syscall.ECONNREFUSED):
+			e.dead++
+		case a.reply != nil:
+			e.answered++
+			if a.reply.Term == term && (a.reply.HeardMillisAgo < 0 || a.reply.HeardMillisAgo > silentAfter.Milliseconds()*3/4) {
+				e.deaf++
+			}
 		}
 	}
-	return asked, deaf
 }
 
 // answerQuery tells how long ago this VM heard its leader.
@@ -217,11 +221,12 @@
 	return reply
 }
 
-// ended reports whether the process of a leader is gone: its port refuses
-// connections, or another incarnation answers there.
-func (c *Coordinator) ended(leader fleet.Member) bool {
+// ended reports whether the process of a leader is gone; replaced is set if
+// another incarnation answers in its place. It runs outside the loop.
+func (c *Coordinator) ended(leader fleet.Member, known *fleet.View) (ended, replaced bool) {
 	if leader.VM == c.config.Self.VM {
-		return leader.Incarnation != c.config.Self.Incarnation
+		replaced = leader.Incarnation != c.config.Self.Incarnation
+		return replaced, replaced
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, askTimeout)
 	defer cancel()
@@ -229,10 +234,14 @@
 		Kind: &peerv1.Control_LeaderQuery{LeaderQuery: &peerv1.LeaderQuery{}},
 	})
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			return false, false
+		}
+		return c.portClosed(leader.Address, c.witnessesOf(leader.FailureDomain, known, leader.VM)), false
 	}
 	incarnation := reply.GetLeaderQueryReply().GetIncarnation()
-	return incarnation != "" && incarnation != leader.Incarnation
+	replaced = incarnation != "" && incarnation != leader.Incarnation
+	return replaced, replaced
 }
 
 // looked acts on a read of the record.
@@ -257,10 +266,11 @@
 		e.storeBack = c.lacksStore && now.Sub(c.storeFailedAt) < storeBackGrace
 		may, why := mayTakeOver(e)
 		events.LeaderMissed.Log(c.config.Logger).Uint64("term", record.Term).Str("leader", record.Leader.VM).
-			Dur("silent", e.silentFor).Int("known", e.known).Int("asked", e.asked).Int("deaf", e.deaf).
+			Dur("silent", e.silentFor).Int("known", e.known).Int("asked", e.asked).Int("answered", e.answered).
+			Int("deaf", e.deaf).Int("dead", e.dead).Bool("written", e.written).Dur("record_unchanged", e.unchangedFor).
 			Bool("ended", e.ended).Bool("yielding", e.yielding).Bool("takes_over", may).Str("reason", why).Send()
 		if may {
-			c.takeOver(record, revision, why, e.ended && !e.yielding)
+			c.takeOver(record, revision, why, e.replaced && !e.yielding)
 		}
 	}
 }
@@ -277,7 +287,7 @@
 func (c *Coordinator) follow(record *fleet.Record, now time.Time) {
 	view := *c.view
 	view.Term, view.Leader = record.Term, record.Leader
-	c.yielding = false
+	c.yielding, c.heardWrite = false, record.Write
 	if c.heardAt.Before(now.Add(-silentAfter)) {
 		// The new leader gets the time of a silent one to answer.
 		c.heardAt = now.Add(-silentAfter / 2)
--- a/internal/process/coordinator/parts_test.go
+++ b/internal/process/coordinator/parts_test.go
@@ -88,12 +88,17 @@
 		"yields":                          {evidence{yielding: true}, true},
 		"lost a store that is just back":  {evidence{yielding: true, storeBack: true}, false},
 		"its process is gone":             {evidence{ended: true, silentFor: silent}, true},
-		"refused here, heard elsewhere":   {evidence{ended: true, silentFor: silent, known: 5, asked: 3, deaf: 2}, false},
-		"nobody hears it":                 {evidence{silentFor: silent, known: 5, asked: 3, deaf: 3}, true},
-		"one of three hears it":           {evidence{silentFor: silent, known: 5, asked: 3, deaf: 2}, false},
-		"this VM hears nobody":            {evidence{silentFor: silent, known: 5}, false},
-		"this VM hears nobody, for long":  {evidence{silentFor: 4 * silent, known: 5, unchangedFor: aloneAfter}, true},
-		"hears nobody, but it is written": {evidence{silentFor: 10 * silent, known: 5, unchangedFor: aloneAfter / 2}, false},
+		"refused here, heard elsewhere":   {evidence{ended: true, silentFor: silent, known: 5, asked: 3, answered: 3, deaf: 2}, false},
+		"nobody hears it":                 {evidence{silentFor: silent, known: 5, asked: 3, answered: 3, deaf: 3}, true},
+		"one of three hears it":           {evidence{silentFor: silent, known: 5, asked: 3, answered: 3, deaf: 2}, false},
+		"one of nine hears it":            {evidence{silentFor: silent, known: 20, asked: 9, answered: 9, deaf: 8}, true},
+		"this VM hears nobody":            {evidence{silentFor: silent, known: 5, asked: 5}, false},
+		"this VM hears nobody, for long":  {evidence{silentFor: 4 * silent, known: 5, asked: 5, unchangedFor: aloneAfter}, true},
+		"hears nobody, but it is written": {evidence{silentFor: 10 * silent, known: 5, asked: 5, unchangedFor: aloneAfter / 2}, false},
+		"a third is cut off together":     {evidence{silentFor: silent, known: 20, asked: 9, answered: 3, deaf: 3}, false},
+		"lost with most of the others":    {evidence{silentFor: silent, known: 20, asked: 9, answered: 3, deaf: 3, dead: 6}, true},
+		"cut off by refusals, it writes":  {evidence{silentFor: silent, known: 20, asked: 9, answered: 3, deaf: 3, dead: 6, written: true}, false},
+		"few hear of it, and no writes":   {evidence{silentFor: silent, known: 20, asked: 9, answered: 2, deaf: 2, unchangedFor: staleAfter}, true},
 	} {
 		may, why := mayTakeOver(c.evidence)
 		assert.Equal(t, may, c.may, "%s: %s", name, why)
@@ -154,3 +159,20 @@
 	now = now.Add(renewEvery + renewSlack)
 	assert.Equal(t, len(k.due(now)), slices)
 }
+
+// TestNextLifeMayHoldGrants: grants that were sent to a life of a target that is
+// over may have reached the next one, before and after that is known.
+func TestNextLifeMayHoldGrants(t *testing.T) {
+	former, present := fleet.Life{ID: "a", Born: 1}, fleet.Life{ID: "a", Born: 2}
+	slice := fleet.Slice{First: 0, Last: 9, Owner: former, Fence: 1}
+	k := newKeeper(map[string][]fleet.Slice{"s": {slice}}, usualHold)
+	k.alone = true
+	now := time.Now()
+	grant := task{order: order{"s", 1, 0, former, false}, slice: slice}
+	k.granted(grant, true, now)
+	k.startedAgain(former, present)
+	assert.Assert(t, k.mayHold(present, now.Add(usualHold)))
+	assert.Assert(t, !k.mayHold(present, now.Add(2*usualHold)))
+	k.granted(grant, false, now.Add(usualHold))
+	assert.Assert(t, k.mayHold(present, now.Add(2*usualHold)))
+}
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -77,7 +77,7 @@
 	l := c.lead
 	state := &peerv1.FleetState{
 		Term: l.record.Term, Leader: identity(c.config.Self), Versions: l.parts.versions(),
-		StoreLost: l.storeLost, Leaving: c.leaving, Outranked: l.outranked(now),
+		StoreLost: l.storeLost, Leaving: c.leaving, Outranked: l.outranked(now), RecordWrite: l.record.Write,
 	}
 	if m.sent != nil {
 		c.addParts(state, m, now)
@@ -128,6 +128,7 @@
 	if m == nil || m.Incarnation != from.Incarnation {
 		m = &member{Member: fleet.Member{
 			VM: from.VM, Incarnation: from.Incarnation, Address: report.Address, Processor: report.ProcessorMillis,
+			FailureDomain: report.FailureDomain,
 		}, joinedAt: now}
 		l.members[from.VM] = m
 		c.membersChanged()
--- a/internal/process/coordinator/target_test.go
+++ b/internal/process/coordinator/target_test.go
@@ -31,7 +31,7 @@
 
 func (w *world) startTarget(id string) {
 	target := &fakeTarget{Target: fleet.Target{
-		Life: fleet.Life{ID: id, Born: time.Now().UnixMilli()}, Service: service, Address: id + ":1", FailureDomain: "a", Slots: 2,
+		Life: fleet.Life{ID: id, Born: time.Now().UnixMilli()}, Service: service, Address: id + ":1", FailureDomain: domainOf(id), Slots: 2,
 	}}
 	w.mu.Lock()
 	if former := w.targets[id]; former != nil {
@@ -84,7 +84,7 @@
 	id := address[:len(address)-2]
 	w.mu.Lock()
 	target := w.targets[id]
-	ended, silent := target.ended, target.silent || w.cut[n.name+">"+id]
+	ended, silent := target.ended || w.refused[n.name+">"+id], target.silent || w.cut[n.name+">"+id]
 	w.mu.Unlock()
 	switch {
 	case silent:
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -100,9 +100,9 @@
 }
 
 func memberFromWire(m *peerv1.VmIdentity) fleet.Member {
-	return fleet.Member{VM: m.Vm, Incarnation: m.Incarnation, Address: m.Address, Processor: m.ProcessorMillis}
+	return fleet.Member{VM: m.Vm, Incarnation: m.Incarnation, Address: m.Address, Processor: m.ProcessorMillis, FailureDomain: m.FailureDomain}
 }
 
 func identity(m fleet.Member) *peerv1.VmIdentity {
-	return &peerv1.VmIdentity{Vm: m.VM, Incarnation: m.Incarnation, Address: m.Address, ProcessorMillis: m.Processor}
+	return &peerv1.VmIdentity{Vm: m.VM, Incarnation: m.Incarnation, Address: m.Address, ProcessorMillis: m.Processor, FailureDomain: m.FailureDomain}
 }
--- /dev/null
+++ b/internal/process/coordinator/witness.go
@@ -0,0 +1,127 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+// A port that refuses connections belongs to a process that has ended, or lies
+// behind a partition that refuses connections instead of dropping packets. While a
+// failure domain is cut off, only a VM inside can tell the two apart.
+
+const (
+	// nearWitnesses and farWitnesses are the numbers of VMs that are asked in the
+	// failure domain of a port and in others.
+	nearWitnesses = 2
+	farWitnesses  = 1
+	// probeTimeout bounds the connection that a witness tries.
+	probeTimeout = 150 * time.Millisecond
+)
+
+// witnesses are the VMs that are asked about a port. near and far lie in its
+// failure domain and elsewhere; selfNear is set if this VM is near.
+type witnesses struct {
+	selfNear  bool
+	near, far []string
+}
+
+// witnessesOf chooses VMs to ask about a port in a failure domain.
+func (c *Coordinator) witnessesOf(domain string, known *fleet.View, without string) witnesses {
+	w := witnesses{selfNear: domain == c.config.Self.FailureDomain}
+	for vm, m := range known.Members {
+		switch {
+		case vm == c.config.Self.VM || vm == without:
+		case m.FailureDomain == domain && len(w.near) < nearWitnesses:
+			w.near = append(w.near, vm)
+		case m.FailureDomain != domain && len(w.far) < farWitnesses:
+			w.far = append(w.far, vm)
+		}
+	}
+	return w
+}
+
+// portClosed reports whether a port that refused this VM belongs to a process
+// that has ended: a VM near it was refused, another one besides this if there is
+// any, and nobody got through. It runs outside the loop.
+func (c *Coordinator) portClosed(address string, w witnesses) bool {
+	type answer struct {
+		reply *peerv1.ProbeReply
+		near  bool
+	}
+	answers := make(chan answer, len(w.near)+len(w.far))
+	ask := func(vms []string, near bool) {
+		for _, vm := range vms {
+			go func() { answers <- answer{c.probe(vm, address), near} }()
+		}
+	}
+	ask(w.near, true)
+	ask(w.far, false)
+	near, refused, open := w.selfNear, 0, false
+	for range cap(answers) {
+		a := <-answers
+		open = open || a.reply.GetOpen()
+		if a.reply.GetRefused() {
+			refused++
+			near = near || a.near
+		}
+	}
+	return near && !open && (refused > 0 || cap(answers) == 0)
+}
+
+// probe asks another VM to connect to an address; nil if it gives no answer.
+func (c *Coordinator) probe(vm, address string) *peerv1.ProbeReply {
+	ctx, cancel := context.WithTimeout(c.ctx, askTimeout)
+	defer cancel()
+	reply, err := c.config.Sender.Call(ctx, vm, &peerv1.Control{
+		Kind: &peerv1.Control_ProbeRequest{ProbeRequest: &peerv1.ProbeRequest{Address: address}},
+	})
+	if err != nil {
+		return nil
+	}
+	return reply.GetProbeReply()
+}
+
+// answerProbe connects to an address for another VM. It runs outside the loop.
+func (c *Coordinator) answerProbe(from peer.Peer, call uint64, address string) {
+	ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
+	defer cancel()
+	err := c.config.Dial(ctx, address)
+	c.config.Sender.Send(from.VM, &peerv1.Control{ReplyTo: call, Kind: &peerv1.Control_ProbeReply{ProbeReply: &peerv1.ProbeReply{
+		Open: err == nil, Refused: errors.Is(err, syscall.ECONNREFUSED),
+	}}})
+}
+
+// confirmEnd finds out whether a target whose port refuses connections has ended.
+func (c *Coordinator) confirmEnd(life fleet.Life) {
+	l, target := c.lead, c.view.Targets[life.ID]
+	if target == nil || target.Life != life || l.confirming[life] {
+		return
+	}
+	l.confirming[life] = true
+	w, address, domain := c.witnessesOf(target.FailureDomain, c.view, ""), target.Address, target.FailureDomain
+	go func() {
+		ended := c.portClosed(address, w)
+		c.config.Loop.Post(func() {
+			if c.lead != l {
+				return
+			}
+			delete(l.confirming, life)
+			events.TargetEndChecked.Log(c.config.Logger).Str("target", life.ID).Int64("born", life.Born).
+				Str("failure_domain", domain).Strs("near", w.near).Strs("far", w.far).Bool("self_near", w.selfNear).Bool("ended", ended).Send()
+			if !ended {
+				l.keeper.refusals[life] = 0
+				return
+			}
+			l.keeper.ended(life)
+			c.slicesChanged()
+			c.carryOutDue(time.Now())
+		})
+	}()
+}
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -40,6 +40,8 @@
 	targets map[string]*fakeTarget
 	// cut holds pairs "from>to" without a path; "from>store" cuts from the store.
 	cut map[string]bool
+	// refused holds pairs whose connections are refused although both run.
+	refused map[string]bool
 	// outage stops the store for everybody.
 	outage bool
 	// loseAnswers is the share of writes whose answers are lost.
@@ -75,7 +77,7 @@
 func newWorld(t *testing.T, seed uint64, nodes, targets int) *world {
 	w := &world{
 		t: t, began: time.Now(), random: rand.New(rand.NewPCG(seed, 7)), memory: store.NewMemory(), nodes: map[string]*node{},
-		targets: map[string]*fakeTarget{}, cut: map[string]bool{}, waiting: map[uint64]chan *peerv1.Control{},
+		targets: map[string]*fakeTarget{}, cut: map[string]bool{}, refused: map[string]bool{}, waiting: map[uint64]chan *peerv1.Control{},
 	}
 	config := fleet.Config{Version: 1, Services: []fleet.Service{{Name: service, Keyed: true}}}
 	w.put("config/main", config)
@@ -116,10 +118,10 @@
 	n.cancel = cancel
 	logger := zerolog.New(historyWriter{w}).With().Str("vm", n.incarnation).Logger()
 	n.coordinator = coordinator.New(coordinator.Config{
-		Self:       fleet.Member{VM: name, Incarnation: n.incarnation, Address: name + ":1", Processor: processorOf(name)},
+		Self:       fleet.Member{VM: name, Incarnation: n.incarnation, Address: name + ":1", Processor: processorOf(name), FailureDomain: domainOf(name)},
 		RecordName: "own/record", Names: names, Loop: n.loop, Store: nodeStore{n}, Sender: n, Targets: n,
 		LongestHold: 10 * time.Second, Publish: n.publish, Observe: n.observe, Demand: n.demand,
-		Uptime: func() time.Duration { return time.Since(w.began) }, Logger: &logger,
+		Dial: n.dial, Uptime: func() time.Duration { return time.Since(w.began) }, Logger: &logger,
 	})
 	go n.loop.Run(ctx)
 	n.coordinator.Start(ctx)
@@ -134,6 +136,29 @@
 	return 112
 }
 
+// domainOf spreads VMs and targets over three failure domains.
+func domainOf(name string) string { return []string{"a", "b", "c"}[int(name[len(name)-1])%3] }
+
+// dial connects to a VM or a target.
+func (n *node) dial(ctx context.Context, address string) error {
+	id, _, _ := strings.Cut(address, ":")
+	w := n.world
+	w.mu.Lock()
+	target := w.targets[id]
+	refused := w.refused[n.name+">"+id] || target != nil && target.ended || target == nil && w.nodes[id] == nil
+	silent := w.cut[n.name+">"+id] || target != nil && target.silent
+	w.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(2 * time.Millisecond)
+	if refused {
+		return syscall.ECONNREFUSED
+	}
+	return nil
+}
+
 // historyWriter puts the nodes' logs into the history.
 type historyWriter struct{ world *world }
 
@@ -199,7 +224,7 @@
 func (w *world) path(from, to string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.cut[from+">"+to]
+	return !w.cut[from+">"+to] && !w.refused[from+">"+to]
 }
 
 // Send implements peer.ControlSender.
@@ -245,7 +270,7 @@
 	name, _, _ := strings.Cut(vm, ":")
 	w := n.world
 	w.mu.Lock()
-	refused := w.nodes[name] == nil && !w.cut[n.name+">"+name] && !w.cut[name+">"+n.name]
+	refused := w.refused[n.name+">"+name] || w.nodes[name] == nil && !w.cut[n.name+">"+name] && !w.cut[name+">"+n.name]
 	w.calls++
 	message.Call = w.calls
 	answer := make(chan *peerv1.Control, 1)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -7,6 +7,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -62,6 +63,8 @@
 	VM, FailureDomain string
 	// Listening addresses, as host:port.
 	Callers, Ready, Peers, Metrics string
+	// Advertised is where other VMs connect; empty for Peers.
+	Advertised string
 	// Deployment must be the same on all VMs.
 	Deployment string
 	Processor  float64
@@ -107,7 +110,8 @@
 	g := &Gateway{
 		settings: settings, logger: logger, loop: loop.New(), listeners: map[string]net.Listener{},
 		self: fleet.Member{
-			VM: settings.VM, Incarnation: uuid.NewString(), Address: settings.Peers, Processor: uint32(settings.Processor * thousandths),
+			VM: settings.VM, Incarnation: uuid.NewString(), Address: cmp.Or(settings.Advertised, settings.Peers), Processor: uint32(settings.Processor * thousandths),
+			FailureDomain: settings.FailureDomain,
 		},
 		metrics: daemon.NewMetrics(settings.VM, settings.FailureDomain),
 	}
@@ -134,7 +138,7 @@
 		Self:       g.self,
 		RecordName: platform.RecordName, Names: platform.Names, Loop: g.loop, Store: platform.Store,
 		Sender: g.transport, Targets: platform.Targets, LongestHold: g.settings.LongestHold,
-		Publish: g.publish, Observe: g.desk.Observe, Demand: g.desk.Demand, Uptime: uptime, Logger: &g.logger,
+		Publish: g.publish, Observe: g.desk.Observe, Demand: g.desk.Demand, Dial: dial, Uptime: uptime, Logger: &g.logger,
 	})
 	g.pools = forward.NewPools(target.Form{
 		RequestIDHeader: platform.Dialect.RequestIDHeader(), Unframed: true, SkipStray: true,
@@ -147,6 +151,15 @@
 	g.callers = &caller.Server{Handler: g.handler, Limits: g.callerLimits}
 }
 
+// dial opens and closes a connection.
+func dial(ctx context.Context, address string) error {
+	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return connection.Close()
+}
+
 func (g *Gateway) listen() error {
 	addresses := map[string]string{
 		"callers": g.settings.Callers, "ready": g.settings.Ready, "peers": g.settings.Peers, "metrics": g.settings.Metrics,
--- a/internal/testutil/deployment/deployment.go
+++ b/internal/testutil/deployment/deployment.go
@@ -48,8 +48,25 @@
 	*cluster.Process
 	// Callers and Ready are addresses.
 	Callers, Ready, Metrics string
-	// Store is the link to the store.
-	Store *faultproxy.Link
+	// Store is the link to the store, Peers the link from the other VMs.
+	Store, Peers *faultproxy.Link
+	settings     string
+}
+
+// Log returns what the daemon has logged so far.
+func (v *VM) Log() string {
+	content, err := os.ReadFile(v.LogPath)
+	if err != nil {
+		return err.Error()
+	}
+	return string(content)
+}
+
+// SpoilSettings makes the settings file unusable.
+func (v *VM) SpoilSettings() {
+	if err := os.WriteFile(v.settings, []byte("nodeName="), 0o600); err != nil {
+		panic(err)
+	}
 }
 
 // Target is one server in one life.
@@ -139,6 +156,13 @@
 	t.server.CloseClientConnections()
 }
 
+// RestartTarget ends a server and starts it again under its id: a new life at
+// another address that holds nothing.
+func (d *Deployment) RestartTarget(id string, settings fencetarget.Settings) *Target {
+	d.EndTarget(id)
+	return d.AddTarget(id, d.Target(id).Service, settings)
+}
+
 // AddVM starts a daemon.
 func (d *Deployment) AddVM() *VM {
 	d.t.Helper()
@@ -147,7 +171,8 @@
 	vm.Store = d.proxy.Link("store-"+name, d.store)
 	peers, metrics := portPair(d.t)
 	vm.Metrics = fmt.Sprintf("127.0.0.1:%d", metrics)
-	settings := filepath.Join(d.dir, name+".conf")
+	vm.Peers = d.proxy.Link("peers-"+name, fmt.Sprintf("127.0.0.1:%d", peers))
+	vm.settings = filepath.Join(d.dir, name+".conf")
 	text := strings.Join([]string{
 		"nodeName=" + name, "ip=127.0.0.1", "zone=a", "region=r", "zones.a=r",
 		"endpoints.front=" + vm.Callers, "endpoints.ready=" + vm.Ready,
@@ -155,8 +180,8 @@
 		"platform.address=" + vm.Store.Address,
 		"ruleParams=drain=2000ms,grace=6s,retryRatio=0.2,retryWindow=10s,retrySlack=100,coldOver=1.5,coldSlack=5,holdMax=10000ms",
 	}, "\n")
-	assert.NilError(d.t, os.WriteFile(settings, []byte(text), 0o600))
-	vm.Process = cluster.StartProcess(d.t, d.dir, name, cluster.DaemonPath(d.t), "serve", "--settings", settings)
+	assert.NilError(d.t, os.WriteFile(vm.settings, []byte(text), 0o600))
+	vm.Process = cluster.StartProcess(d.t, d.dir, name, cluster.DaemonPath(d.t), "serve", "--settings", vm.settings, "--advertise", vm.Peers.Address)
 	d.VMs = append(d.VMs, vm)
 	return vm
 }
--- a/internal/version/fleet/view.go
+++ b/internal/version/fleet/view.go
@@ -67,6 +67,8 @@
 	Address string `json:"address"`
 	// Processor is the VM's part of a processor, in thousandths of a core.
 	Processor uint32 `json:"processor,omitempty"`
+	// FailureDomain is where the VM is.
+	FailureDomain string `json:"failureDomain,omitempty"`
 }
 
 // View is what a VM knows at one moment.
--- a/tests/placement/domain_test.go
+++ b/tests/placement/domain_test.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -107,14 +109,47 @@
 	assert.Equal(t, b.ownedIn(awayDomain), 0)
 	b.setOut(awayDomain, false)
 	back := b.phase("return", p, outside, 20*time.Second)
-	t.Logf("%d slices are owned there 20 s after the return", b.ownedIn(awayDomain))
+	owned := b.ownedIn(awayDomain)
+	t.Logf("%d slices are owned there 20 s after the return", owned)
+	if owned < backAtLeast {
+		b.explain()
+	}
 	b.checkSingleOwner(nil)
 	assert.Assert(t, latest <= noNewWorkAfter)
 	assert.Equal(t, answered(exit), exit.Sent, "a planned exit refuses nothing: %s", refused(exit))
 	assert.Equal(t, answered(back), back.Sent, "a return refuses nothing: %s", refused(back))
-	assert.Assert(t, b.ownedIn(awayDomain) >= 5, "slices come back slowly")
+	assert.Assert(t, b.ownedIn(awayDomain) >= backAtLeast, "slices come back slowly")
 }
 
+// backAtLeast is the number of slices that a failure domain owns again after its
+// return.
+const backAtLeast = 5
+
+// explain logs the record, and what was decided on the placement lately.
+func (b *board) explain() {
+	cell, version := b.record()
+	b.t.Logf("record %d: targets %+v", version, cell.Targets)
+	for i := range cell.Slices {
+		if s := &cell.Slices[i]; s.Moving || s.Next != "" {
+			b.t.Logf("slice %x-%x of %s goes to %s, moving %v", s.First, s.Last, s.Owner, s.Next, s.Moving)
+		}
+	}
+	for _, vm := range b.VMs {
+		content, err := os.ReadFile(vm.LogPath)
+		assert.NilError(b.t, err)
+		var lines []string
+		for line := range strings.Lines(string(content)) {
+			if strings.Contains(line, `"event":50`) {
+				lines = append(lines, line)
+			}
+		}
+		b.t.Logf("%s on placement:\n%s", vm.Name, strings.Join(lines[max(len(lines)-explainLines, 0):], ""))
+	}
+}
+
+// explainLines is the number of log lines of each VM that explain shows.
+const explainLines = 60
+
 func TestASuddenLossAndReturnOfAFailureDomain(t *testing.T) {
 	b, awayDomain := startDivisionBoard(t)
 	outside := b.entriesOutside(awayDomain)
--- a/tests/platform/platform_test.go
+++ b/tests/platform/platform_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -164,6 +165,15 @@
 	}
 	time.Sleep(100 * time.Millisecond)
 	assert.Equal(t, len(failures(load.end())), 0)
+	assert.Equal(t, strings.Count(d.VMs[0].Log(), `"name":"settings-read"`), 3)
+	d.VMs[0].SpoilSettings()
+	d.VMs[0].Signal(hangUp)
+	cluster.Eventually(t, time.Second, "the unusable settings are reported", func() error {
+		if !strings.Contains(d.VMs[0].Log(), `"name":"settings-invalid"`) {
+			return errors.New("no line about them")
+		}
+		return nil
+	})
 }
 
 // TestDrainingServerGetsNothing after the bound, and no request fails.
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -37,7 +37,11 @@
 
 const (
 	vms, servers = 4, 4
-	startBound   = 20 * time.Second
+	// drainBound is the time after which a server that leaves gets no request.
+	drainBound = 2 * time.Second
+	// contact is how long nothing must have failed for bounds to hold.
+	contact    = 3 * time.Second
+	startBound = 20 * time.Second
 	// recoverBound is the time after the last fault within which everything is
 	// served again.
 	recoverBound = 15 * time.Second
@@ -70,6 +74,15 @@
 	// busy are the processes and links with a fault under way; a second fault
 	// goes to another one.
 	busy map[string]bool
+	// failing are the times of faults on VMs, their links and the store; leaving
+	// are those for which servers had said that they leave.
+	failing, leaving []interval
+}
+
+// interval is a time, of a server if it has one.
+type interval struct {
+	server     *deployment.Target
+	began, end time.Time
 }
 
 type sent struct {
@@ -102,10 +115,15 @@
 	close(r.stop)
 	r.done.Wait()
 	r.checkResults()
+	r.checkDrains()
 }
 
-func (r *run) addServer(id, service string) {
-	server := r.d.AddTarget(id, service, fencetarget.Settings{Work: 15 * time.Millisecond, Slots: 4})
+var usualServer = fencetarget.Settings{Work: 15 * time.Millisecond, Slots: 4}
+
+func (r *run) addServer(id, service string) { r.keep(r.d.AddTarget(id, service, usualServer)) }
+
+// keep remembers a server's life for the checks at the end.
+func (r *run) keep(server *deployment.Target) {
 	r.mu.Lock()
 	r.all = append(r.all, server)
 	r.mu.Unlock()
@@ -180,13 +198,20 @@
 	id := fmt.Sprintf("%s-%d", []string{"free", "keyed"}[r.random.IntN(2)], r.random.IntN(servers))
 	server := r.d.Target(id)
 	lasts := time.Duration(300+r.random.IntN(3500)) * time.Millisecond
-	kind := r.random.IntN(12)
-	on := []string{vm.Name, "store of " + vm.Name, "store", id, "entry of " + id}[[]int{0, 0, 0, 0, 1, 1, 1, 2, 3, 3, 4, 4}[kind]]
+	kind := r.random.IntN(16)
+	on := []string{vm.Name, "store of " + vm.Name, "store", "server " + id, "peers of " + vm.Name}[[]int{0, 0, 0, 0, 1, 1, 1, 2, 3, 3, 3, 3, 3, 4, 4, 4}[kind]]
 	if !r.claim(on) {
 		return
 	}
 	r.log("fault %d: %s, %s", kind, on, lasts)
-	end := func(wait time.Duration, do func()) { r.after(wait, func() { do(); r.release(on) }) }
+	began := time.Now()
+	end := func(wait time.Duration, do func()) {
+		r.after(wait, func() {
+			do()
+			r.ended(kind, server, began)
+			r.release(on)
+		})
+	}
 	switch kind {
 	case 0:
 		vm.Kill()
@@ -227,10 +252,58 @@
 		end(lasts, server.Link.Heal)
 	case 10:
 		r.d.Register(id, "draining")
-		end(lasts, func() { r.d.Register(id, "in_service") })
+		end(lasts+drainBound, func() { r.d.Register(id, "in_service") })
 	case 11:
 		r.d.Store.Remove("servers", id)
 		end(lasts, func() { r.d.Register(id, "in_service") })
+	case 12:
+		r.keep(r.d.RestartTarget(id, usualServer))
+		end(0, func() {})
+	case 13:
+		vm.Peers.CutBoth()
+		end(lasts, vm.Peers.Heal)
+	case 14:
+		vm.Peers.Cut([]faultproxy.Direction{faultproxy.ToServer, faultproxy.ToClient}[r.random.IntN(2)])
+		end(lasts, vm.Peers.Heal)
+	case 15:
+		vm.Peers.Delay(faultproxy.ToClient, 150*time.Millisecond)
+		end(lasts, vm.Peers.Heal)
+	}
+}
+
+// ended notes the time of a fault for the checks at the end.
+func (r *run) ended(kind int, server *deployment.Target, began time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch kind {
+	case 10:
+		r.leaving = append(r.leaving, interval{server, began, time.Now()})
+	case 11:
+	default:
+		r.failing = append(r.failing, interval{server, began, time.Now()})
+	}
+}
+
+// calm reports whether nothing failed in a time nor just before it.
+func (r *run) calm(began, end time.Time) bool {
+	for _, f := range r.failing {
+		if f.began.Before(end) && f.end.Add(contact).After(began) {
+			return false
+		}
+	}
+	return true
+}
+
+// checkDrains looks for requests that reached a server long after it had said, in
+// a calm time, that it leaves.
+func (r *run) checkDrains() {
+	for _, left := range r.leaving {
+		for _, one := range left.server.Runs() {
+			late := one.At.Sub(left.began)
+			if late > drainBound && one.At.Before(left.end) && r.calm(left.began, one.At) {
+				r.t.Errorf("%s reached %s %s after it had said that it leaves", one.Attempt, left.server.ID, late)
+			}
+		}
 	}
 }
 
