Leave the signal handler in place at the end of the process

Change: the handler stays in place until the process ends, and is taken before the settings are read.

--- a/cmd/chestnutcoursed/platform.go
+++ b/cmd/chestnutcoursed/platform.go
@@ -33,6 +33,9 @@
 // runOnPlatform runs the daemon on the users' platform. advertised is where other
 // VMs connect, empty for the address that this one listens on.
 func runOnPlatform(ctx context.Context, path, advertised string) int {
+	// Taken at once, since an unhandled SIGHUP ends the process.
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -50,8 +53,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitInvalid
 	}
-	stopReading := readOnHangUp(path, s, &logger)
-	defer stopReading()
+	go readOnHangUp(hangUps, path, s, &logger)
 	if err := g.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
@@ -59,25 +61,17 @@
 	return 0
 }
 
-// readOnHangUp checks the settings file again on each SIGHUP until the returned
-// function is called. What may change at runtime is in the store, so a change of
-// the file counts from the next start.
-func readOnHangUp(path string, inForce *platform.Settings, logger *zerolog.Logger) (stop func()) {
-	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP)
-	go func() {
-		for range hangUps {
-			read, err := platform.LoadSettings(path)
-			if err != nil {
-				events.SettingsInvalid.Log(logger).Err(err).Send()
-				continue
-			}
-			events.SettingsRead.Log(logger).Bool("differs", *read != *inForce).Send()
+// readOnHangUp checks the settings file again on each SIGHUP, until the process
+// ends. What may change at runtime is in the store, so a change of the file counts
+// from the next start.
+func readOnHangUp(hangUps <-chan os.Signal, path string, inForce *platform.Settings, logger *zerolog.Logger) {
+	for range hangUps {
+		read, err := platform.LoadSettings(path)
+		if err != nil {
+			events.SettingsInvalid.Log(logger).Err(err).Send()
+			continue
 		}
-	}()
-	return func() {
-		signal.Stop(hangUps)
-		close(hangUps)
+		events.SettingsRead.Log(logger).Bool("differs", *read != *inForce).Send()
 	}
 }
 
