Ask VMs in one place, and find out once a tick whether the leader is outranked

Found by reading the change again; behaviour stays as it is. - The question whom a VM hears was written out twice, and a third call to a VM had the same time-out and shape: queryLeader and call serve all three. - Whether the lead is to be left to a larger VM was worked out over all VMs for each VM at each push; it is now worked out once a tick, 50 ms. - The comment of staleAfter referred to the constant before it, and another stood there.

--- a/internal/process/coordinator/election.go
+++ b/internal/process/coordinator/election.go
@@ -16,13 +16,13 @@
 	// that hears nobody takes over: a leader that reaches the store writes it
 	// every 0.6 s.
 	aloneAfter = 3500 * time.Millisecond
+	// staleAfter is the same if other VMs do not hear the leader either: two of its
+	// writes are missing.
+	staleAfter = 1300 * time.Millisecond
 	// storeBackGrace is the time after the return of the store to a VM in which a
 	// leader that had lost it too is expected to find it again: a write that
 	// hangs, and the pause after it.
 	storeBackGrace = 2 * time.Second
-	// staleAfter is the same if other VMs do not hear the leader either: two of its
-	// writes are missing.
-	staleAfter = 1300 * time.Millisecond
 	// hearingShare is the part, one in so many, of the VMs that answer which has to
 	// hear a leader for it to stay.
 	hearingShare = 3
@@ -149,9 +149,9 @@
 	return a.Processor > 0 && a.Processor >= outrankedBy*b.Processor
 }
 
-// outranked reports whether the lead is to be left to a VM that can do more and
+// isOutranked reports whether the lead is to be left to a VM that can do more and
 // has followed for a while.
-func (l *leadership) outranked(now time.Time) bool {
+func (l *leadership) isOutranked(now time.Time) bool {
 	if now.Sub(l.since) < settledAfter {
 		return false
 	}
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -60,6 +60,8 @@
 
 	storeHeardAt time.Time
 	storeLost    bool
+	// outranked is set while the lead is left to a VM that can do more.
+	outranked bool
 
 	// confirming are the targets of which it is being found out whether they have ended.
 	confirming map[fleet.Life]bool
@@ -162,6 +164,7 @@
 	}
 	c.dropMembers(now)
 	c.noteStore(now)
+	l.outranked = l.isOutranked(now)
 	c.supersede(now)
 	c.touch(now)
 	if l.declarationsChanged {
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -190,12 +190,8 @@
 	e.asked = min(len(others), askCount)
 	for _, vm := range others[:e.asked] {
 		go func() {
-			ctx, cancel := context.WithTimeout(c.ctx, askTimeout)
-			defer cancel()
-			reply, err := c.config.Sender.Call(ctx, vm, &peerv1.Control{
-				Kind: &peerv1.Control_LeaderQuery{LeaderQuery: &peerv1.LeaderQuery{}},
-			})
-			answers <- answer{reply.GetLeaderQueryReply(), err}
+			reply, err := c.queryLeader(vm)
+			answers <- answer{reply, err}
 		}()
 	}
 	for range e.asked {
@@ -212,6 +208,19 @@
 	}
 }
 
+// queryLeader asks a VM, by its name or address, whom it hears.
+func (c *Coordinator) queryLeader(vm string) (*peerv1.LeaderQueryReply, error) {
+	reply, err := c.call(vm, &peerv1.Control{Kind: &peerv1.Control_LeaderQuery{LeaderQuery: &peerv1.LeaderQuery{}}})
+	return reply.GetLeaderQueryReply(), err
+}
+
+// call sends a question to another VM and waits for its answer for a short time.
+func (c *Coordinator) call(vm string, question *peerv1.Control) (*peerv1.Control, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, askTimeout)
+	defer cancel()
+	return c.config.Sender.Call(ctx, vm, question)
+}
+
 // answerQuery tells how long ago this VM heard its leader.
 func (c *Coordinator) answerQuery() *peerv1.LeaderQueryReply {
 	reply := &peerv1.LeaderQueryReply{Term: c.view.Term, HeardMillisAgo: time.Since(c.heardAt).Milliseconds(), Incarnation: c.config.Self.Incarnation}
@@ -228,18 +237,14 @@
 		replaced = leader.Incarnation != c.config.Self.Incarnation
 		return replaced, replaced
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, askTimeout)
-	defer cancel()
-	reply, err := c.config.Sender.Call(ctx, leader.Address, &peerv1.Control{
-		Kind: &peerv1.Control_LeaderQuery{LeaderQuery: &peerv1.LeaderQuery{}},
-	})
+	reply, err := c.queryLeader(leader.Address)
 	if err != nil {
 		if !errors.Is(err, syscall.ECONNREFUSED) {
 			return false, false
 		}
 		return c.portClosed(leader.Address, c.witnessesOf(leader.FailureDomain, known, leader.VM)), false
 	}
-	incarnation := reply.GetLeaderQueryReply().GetIncarnation()
+	incarnation := reply.GetIncarnation()
 	replaced = incarnation != "" && incarnation != leader.Incarnation
 	return replaced, replaced
 }
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -77,7 +77,7 @@
 	l := c.lead
 	state := &peerv1.FleetState{
 		Term: l.record.Term, Leader: identity(c.config.Self), Versions: l.parts.versions(),
-		StoreLost: l.storeLost, Leaving: c.leaving, Outranked: l.outranked(now), RecordWrite: l.record.Write,
+		StoreLost: l.storeLost, Leaving: c.leaving, Outranked: l.outranked, RecordWrite: l.record.Write,
 	}
 	if m.sent != nil {
 		c.addParts(state, m, now)
--- a/internal/process/coordinator/witness.go
+++ b/internal/process/coordinator/witness.go
@@ -77,11 +77,7 @@
 
 // probe asks another VM to connect to an address; nil if it gives no answer.
 func (c *Coordinator) probe(vm, address string) *peerv1.ProbeReply {
-	ctx, cancel := context.WithTimeout(c.ctx, askTimeout)
-	defer cancel()
-	reply, err := c.config.Sender.Call(ctx, vm, &peerv1.Control{
-		Kind: &peerv1.Control_ProbeRequest{ProbeRequest: &peerv1.ProbeRequest{Address: address}},
-	})
+	reply, err := c.call(vm, &peerv1.Control{Kind: &peerv1.Control_ProbeRequest{ProbeRequest: &peerv1.ProbeRequest{Address: address}}})
 	if err != nil {
 		return nil
 	}
