Reset the connection of a request that was given up

Cause: closed in an orderly way, the kernel went on delivering a request that was given up; after a partition healed it could reach its target seconds later. Change: the end of the context, a broken answer and a broken body reset the connection. A complete answer still closes in an orderly way. Test: TestARequestThatWasGivenUpIsNotDeliveredLater fails before (all 64 KB arrive after the exchange ended) and passes after.

--- a/internal/connection/target/connection.go
+++ b/internal/connection/target/connection.go
@@ -45,6 +45,17 @@
 	return n, err
 }
 
+// reset closes the socket and drops what the kernel has not delivered yet. An
+// orderly close would go on delivering it: a request that was given up would
+// reach its target through a healed partition seconds later.
+func (s *countingSocket) reset() {
+	if tcp, ok := s.Conn.(*net.TCPConn); ok {
+		// It fails only on a socket that is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	_ = s.Close()
+}
+
 // dial opens a connection.
 func dial(ctx context.Context, address string, timeout time.Duration) (*connection, error) {
 	dialer := net.Dialer{Timeout: timeout}
@@ -57,9 +68,17 @@
 }
 
 // close closes the socket; it may be called from any goroutine, repeatedly.
-func (c *connection) close() {
+func (c *connection) close() { c.closeBy(func(s *countingSocket) { _ = s.Close() }) }
+
+// abandon closes the socket and takes back what was not delivered yet; it may be
+// called like close.
+func (c *connection) abandon() {
+	c.closeBy((*countingSocket).reset)
+}
+
+func (c *connection) closeBy(end func(*countingSocket)) {
 	c.closeOnce.Do(func() {
-		_ = c.socket.Close()
+		end(c.socket)
 		if c.onClose != nil {
 			c.onClose()
 		}
--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -69,14 +69,14 @@
 )
 
 // Do sends the request and returns the head of the answer. The end of the
-// context closes the connection at any point, also while the body is read. An
+// context resets the connection at any point, also while the body is read. An
 // error is always an *ExchangeError. streamed says that the request's body may
 // be slow, so that the answer is awaited while it is sent.
 func (e *Exchange) Do(ctx context.Context, request *http.Request, streamed bool) (*Answer, error) {
 	c := e.connection
 	c.socket.accepted = 0
 	run := &exchangeRun{pool: e.pool, connection: c, requestID: request.Header.Get(e.pool.form.RequestIDHeader), method: request.Method}
-	run.stop = context.AfterFunc(ctx, func() { _ = c.socket.Close() })
+	run.stop = context.AfterFunc(ctx, c.socket.reset)
 	answer, err := run.perform(request, streamed)
 	if err != nil {
 		run.abandon()
@@ -168,11 +168,11 @@
 	})
 }
 
-// abandon closes the connection.
+// abandon closes the connection; what was not delivered yet is taken back.
 func (r *exchangeRun) abandon() {
 	r.finishOnce.Do(func() {
 		r.stop()
-		r.connection.close()
+		r.connection.abandon()
 	})
 }
 
--- /dev/null
+++ b/internal/connection/target/giveup_test.go
@@ -0,0 +1,65 @@
+package target_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
+)
+
+// slowReceiver is the receive buffer of a target that does not read, in bytes.
+const slowReceiver = 4 << 10
+
+// TestARequestThatWasGivenUpIsNotDeliveredLater plays a partition that heals: the
+// kernel has taken the whole request, the target takes no more of it, and the
+// exchange is given up. What the target reads later must not be the request.
+func TestARequestThatWasGivenUpIsNotDeliveredLater(t *testing.T) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowReceiver)
+		})
+		return errors.Trace(firstError(err, failed))
+	}}
+	listener, err := config.Listen(testContext(t), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	form := target.OwnForm
+	form.Probe = false
+	pool := target.NewPoolOf(listener.Addr().String(), 1, form)
+	t.Cleanup(pool.Close)
+	exchange, err := pool.Reserve(testContext(t))
+	assert.NilError(t, err)
+	accepted, err := listener.Accept()
+	assert.NilError(t, err)
+	defer accepted.Close()
+
+	ctx, giveUp := context.WithTimeout(testContext(t), 200*time.Millisecond)
+	defer giveUp()
+	body := strings.Repeat("x", 64<<10)
+	_, err = exchange.Do(ctx, newRequest("late", "", body), false)
+	var failed *target.ExchangeError
+	assert.Assert(t, errors.As(err, &failed) && failed.Handed, "the request was handed to the kernel: %v", err)
+
+	assert.NilError(t, accepted.SetReadDeadline(time.Now().Add(testTimeout)))
+	received, err := io.ReadAll(accepted)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	assert.Assert(t, len(received) < len(body), "%d bytes arrived after the exchange was given up", len(received))
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/connection/target/sender.go
+++ b/internal/connection/target/sender.go
@@ -33,7 +33,7 @@
 	close(s.done)
 	if s.bodyFailed {
 		// The target would wait for a rest that never comes.
-		_ = s.socket.Close()
+		s.socket.reset()
 	}
 }
 
--- a/tests/placement/balance_test.go
+++ b/tests/placement/balance_test.go
@@ -7,6 +7,9 @@
 	"gotest.tools/v3/assert"
 )
 
+// evenEnough bounds the highest load of a target over the mean after rebalancing.
+const evenEnough = 1.4
+
 // TestSkewIsRelieved sends skewed load and compares the targets' executions
 // right after the start with those after rebalancing, in the same run.
 func TestSkewIsRelieved(t *testing.T) {
@@ -23,6 +26,10 @@
 	t.Logf("max/mean %.2f at the start, %.2f after 30 s; %d of 2000 keys moved; refused: %s / %s / %s; p99 %.1f, %.1f, %.1f ms; record version %d, %d slices, %d hot keys",
 		early, late, movedKeys(ownersOf(before), ownersOf(after)), refused(first), refused(settling), refused(last),
 		percentile(first, 99), percentile(settling, 99), percentile(last, 99), version, len(after.Slices), len(after.HotKeys))
-	assert.Assert(t, late < 1.4, "the load is uneven after rebalancing")
+	if late >= evenEnough {
+		t.Logf("executions by target: %v at the start, %v after rebalancing, %v at the end", start, middle, b.executed())
+		b.explain()
+	}
+	assert.Assert(t, late < evenEnough, "the load is uneven after rebalancing")
 	assert.Equal(t, answered(settling), settling.Sent, "planned moves refuse nothing: %s", refused(settling))
 }
