--- a/internal/process/coordinator/election.go
+++ b/internal/process/coordinator/election.go
@@ -130,7 +130,7 @@
 
 // startDelay is rankDelay for a VM that knows no others yet.
 func startDelay(self fleet.Member) time.Duration {
-	share := min(float64(self.Processor)/1000, 1)
+	share := min(float64(self.Processor)/fleet.WholeCore, 1)
 	spread := float64(xxh3.HashString(self.VM)%10) / 10
 	return time.Duration(spread*float64(startSpread) + (1-share)*float64(startSmall))
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -52,8 +52,6 @@
 	balancerNotice = 2500 * time.Millisecond
 	// stopMargin is kept free before the platform kills the process.
 	stopMargin = 400 * time.Millisecond
-	// thousandths is the unit in which VMs tell each other their processor.
-	thousandths = 1000
 	// stopPoll is the interval at which the end of work is looked for.
 	stopPoll = 20 * time.Millisecond
 )
@@ -110,7 +108,7 @@
 	g := &Gateway{
 		settings: settings, logger: logger, loop: loop.New(), listeners: map[string]net.Listener{},
 		self: fleet.Member{
-			VM: settings.VM, Incarnation: uuid.NewString(), Address: cmp.Or(settings.Advertised, settings.Peers), Processor: uint32(settings.Processor * thousandths),
+			VM: settings.VM, Incarnation: uuid.NewString(), Address: cmp.Or(settings.Advertised, settings.Peers), Processor: uint32(settings.Processor * fleet.WholeCore),
 			FailureDomain: settings.FailureDomain,
 		},
 		metrics: daemon.NewMetrics(settings.VM, settings.FailureDomain),
--- a/internal/version/fleet/view.go
+++ b/internal/version/fleet/view.go
@@ -59,13 +59,16 @@
 	return &slices[i]
 }
 
+// WholeCore is one core in the unit of Member.Processor.
+const WholeCore = 1000
+
 // Member is a VM of the system.
 type Member struct {
 	VM          string `json:"vm"`
 	Incarnation string `json:"incarnation"`
 	// Address is where other VMs connect.
 	Address string `json:"address"`
-	// Processor is the VM's part of a processor, in thousandths of a core.
+	// Processor is the VM's part of a processor, in thousandths of a core (WholeCore).
 	Processor uint32 `json:"processor,omitempty"`
 	// FailureDomain is where the VM is.
 	FailureDomain string `json:"failureDomain,omitempty"`
