Do not follow a redirect of an earlier move

A next owner that has owned the key before, and has not taken it over yet, answers with where it released the key in the earlier move. The entry counted each such answer as a redirect, went back and forth between the two without a pause, and refused after four.

Change: a redirect is followed at once only if its fence is above that of the way that led to it and of the redirects followed before; else the request waits as for any key that changes hands.

Test: TestRedirectOfAnEarlierMoveIsNotFollowed fails without the change.

--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -199,8 +199,9 @@
 	retryAfter time.Duration
 	// answer is the target's answer; nil unless kind is Answered.
 	answer *answer
-	// redirected is set when a dispatcher named who serves the key now.
-	redirected bool
+	// redirectFence is the fence at which a dispatcher released the key to the one
+	// that it names; 0 if it names none.
+	redirectFence uint64
 }
 
 func notRun(reason outcome.Reason) result { return result{kind: outcome.NotRun, reason: reason} }
--- a/internal/request/entry/history.go
+++ b/internal/request/entry/history.go
@@ -12,8 +12,10 @@
 	// useOther sends the next attempt to the target's other holder.
 	useOther  bool
 	redirects int
-	retries   int
-	repairs   int
+	// followed is the highest fence of a redirect that was followed.
+	followed uint64
+	retries  int
+	repairs  int
 	// repairUntil ends the wait for a key to be served again; zero before the first.
 	repairUntil time.Time
 	// waiting is set while the request counts among the service's repair waits.
--- a/internal/request/entry/retry.go
+++ b/internal/request/entry/retry.go
@@ -63,8 +63,12 @@
 	if x.ctx.Err() != nil {
 		return false
 	}
-	if r.redirected {
+	// A redirect is followed at once only if it is newer than what has been
+	// followed: the next owner may not have taken the key over yet, and may still
+	// name the one to which it released the key in an earlier move.
+	if r.redirectFence > max(d.route.Fence, history.followed) {
 		history.redirects++
+		history.followed = r.redirectFence
 		history.useOther = false
 		x.logEvent(events.RequestRedirected, r.reason)
 		return history.redirects <= maxRedirectsFollowed
--- a/internal/request/entry/retry_test.go
+++ b/internal/request/entry/retry_test.go
@@ -132,6 +132,29 @@
 	assert.Equal(t, len(b.handler.redirects.known), 0)
 }
 
+// TestRedirectOfAnEarlierMoveIsNotFollowed: a next owner that owned the key before
+// answers with where it released it then, until it has taken the key over.
+func TestRedirectOfAnEarlierMoveIsNotFollowed(t *testing.T) {
+	var tried attempts
+	began := time.Now()
+	b := newBench(t, senderFunc(func(_ context.Context, vm string, request *peerv1.Request, _ io.Reader) (*peerv1.Response, io.ReadCloser, error) {
+		tried.add(vm, request)
+		if vm == "vm9" && time.Since(began) > 200*time.Millisecond {
+			return answered(request, "")
+		}
+		response, body, err := refused(request, outcome.NotOwner)
+		response.Redirect = &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6}
+		if vm == "vm9" {
+			response.Redirect = &peerv1.Redirect{Cell: "booking/0", Target: "booking-t1", Dispatcher: "vm1", Fence: 4}
+		}
+		return response, body, err
+	}), bookingService())
+	assert.Equal(t, b.send(t, "POST", "/booking", nil, nil).outcome(), "answered")
+	sent := tried.all()
+	assert.Equal(t, sent[len(sent)-1].vm, "vm9")
+	assert.Assert(t, len(sent) < 40, "%d attempts", len(sent))
+}
+
 func TestRedirectCacheIsBounded(t *testing.T) {
 	cache := newRedirectCache()
 	for i := range maxRedirects + 100 {
