Send owners of keys and VMs as differences, large lists compressed

The owners of all keys, 163 kB, went whole to every VM at each change, and were encoded again at each confirmed grant; the leader sent 4.1 MB/s, and a configuration waited behind them on its link.

Ruled out: processor time (38 % of the leader's core share); targets, which travelled as differences already.

Change: every list of the state is a listPart: one of the last 32 lists that a VM has is the base of what it is sent, encoded once for all VMs with that base. The slices get a version at most every 250 ms while grants are confirmed.

Tests: TestSlicesTravelAsDifferences (300 random changes), members, compression, versions while grants are confirmed.

--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
@@ -112,33 +114,68 @@
 	c.heardNanos.Store(now.UnixNano())
 }
 
-// takeParts takes in the parts that a state carries.
+// takeParts takes in the parts that a state carries. What does not fit to what
+// this VM has is sent again, since the next report says what it has.
 func (c *Coordinator) takeParts(view *fleet.View, state *peerv1.FleetState, now time.Time) {
 	if state.Config != nil {
-		config := &fleet.Config{}
-		if err := json.Unmarshal(state.Config, config); err != nil {
-			c.config.Logger.Warn().Err(err).Msg("the leader's configuration cannot be read")
-		} else {
-			c.have.Config = state.Versions.Config
-			if view.Config == nil || config.Version > view.Config.Version {
-				config.Index()
-				view.Config = config
-				events.ConfigurationInForce.Log(c.config.Logger).Uint64("version", config.Version).Uint64("term", state.Term).Send()
-			}
-		}
+		c.takeConfig(view, state)
 	}
-	// A difference to another list than this VM's is sent again in full.
-	if state.Targets != nil && (state.Targets.Base == 0 || state.Targets.Base == c.have.Targets) {
+	targets, sliceList, members := &peerv1.TargetList{}, &peerv1.SliceList{}, &peerv1.MemberList{}
+	if c.takeList(state.Targets, c.have.Targets, targets) {
+		former := view.Targets
+		if state.Targets.Base == 0 {
+			former = nil
+		}
 		c.have.Targets = state.Versions.Targets
-		view.Targets, view.Evacuated = targetsFromWire(state.Targets, view.Targets, now)
+		view.Targets, view.Evacuated = applyTargets(targets, former, now)
 	}
-	if state.Slices != nil {
+	if c.takeList(state.Slices, c.have.Slices, sliceList) {
+		former := view.Slices
+		if state.Slices.Base == 0 {
+			former = nil
+		}
 		c.have.Slices = state.Versions.Slices
-		view.Slices = slicesFromWire(state.Slices)
+		view.Slices = applySlices(sliceList, former)
 	}
-	if state.Members != nil {
+	if c.takeList(state.Members, c.have.Members, members) {
+		former := memberSet{view.Members, view.Brokers}
+		if state.Members.Base == 0 {
+			former = memberSet{}
+		}
 		c.have.Members = state.Versions.Members
-		view.Members, view.Brokers = membersFromWire(state.Members)
+		after := applyMembers(members, former)
+		view.Members, view.Brokers = after.members, after.brokers
+	}
+}
+
+// takeList reads a list that is whole, or a difference to what this VM has.
+func (c *Coordinator) takeList(part *peerv1.Part, have uint64, list proto.Message) bool {
+	if part == nil || part.Base != 0 && part.Base != have {
+		return false
+	}
+	if err := decodePart(part, list); err != nil {
+		c.config.Logger.Warn().Err(err).Msg("the leader's state cannot be read")
+		return false
+	}
+	return true
+}
+
+// takeConfig takes in the leader's configuration if it is newer.
+func (c *Coordinator) takeConfig(view *fleet.View, state *peerv1.FleetState) {
+	config := &fleet.Config{}
+	body, err := bodyOf(state.Config)
+	if err == nil {
+		err = json.Unmarshal(body, config)
+	}
+	if err != nil {
+		c.config.Logger.Warn().Err(err).Msg("the leader's configuration cannot be read")
+		return
+	}
+	c.have.Config = state.Versions.Config
+	if view.Config == nil || config.Version > view.Config.Version {
+		config.Index()
+		view.Config = config
+		events.ConfigurationInForce.Log(c.config.Logger).Uint64("version", config.Version).Uint64("term", state.Term).Send()
 	}
 }
 
--- a/internal/process/coordinator/parts.go
+++ b/internal/process/coordinator/parts.go
@@ -13,105 +13,78 @@
 )
 
 const (
-	// keptLists is the number of former lists of targets from which a VM can be
-	// brought up to date by the difference.
-	keptLists = 32
-	// partAge is how long an encoded list of targets is used: the times in it are
-	// relative.
-	partAge = 100 * time.Millisecond
 	// detailPause is the time between two sendings of the owners of keys, or of
 	// the VMs, to one VM; largePause is the same in a large fleet. The broker
 	// knows the owners at once; others use them only while they do not reach it.
 	detailPause = time.Second
 	largePause  = 2 * time.Second
+	// slicesAge is the least time between two versions of the slices that are
+	// sent; keptLists of them are older than largePause.
+	slicesAge = 250 * time.Millisecond
 )
 
-// parts are the parts of a leader's state as they are sent: one change is
-// encoded once for all VMs.
+// parts are the parts of a leader's state as they are sent.
 type parts struct {
-	config  []byte
-	digests peerv1.PartVersions
-
-	targets   map[string]*fleet.Target
-	evacuated map[string]bool
-	// former are the last lists of targets by digest; order has their digests
-	// from the oldest on.
-	former map[uint64]map[string]*fleet.Target
-	order  []uint64
-	// lists are the encoded lists by the digest of their base, as of listsAt.
-	lists   map[uint64]*peerv1.TargetList
-	listsAt time.Time
-
-	// owned are the slices; they change with every grant that is confirmed, so
-	// they are encoded only when they are sent, until then slices is nil.
-	owned   map[string][]fleet.Slice
-	slices  *peerv1.SliceList
-	members *peerv1.MemberList
+	config        *peerv1.Part
+	configVersion uint64
+
+	targets listPart[targetSet]
+	slices  listPart[sliceSet]
+	members listPart[memberSet]
+
+	// owned are the slices of which slices gets a version at the next sending
+	// after slicesAge, if there are any new ones: they change with every grant
+	// that is confirmed.
+	owned     sliceSet
+	newOwned  bool
+	slicesSet time.Time
 }
 
+type (
+	targetSet struct {
+		targets   map[string]*fleet.Target
+		evacuated map[string]bool
+	}
+	// sliceSet has the slices of each service, sorted by key.
+	sliceSet  map[string][]fleet.Slice
+	memberSet struct {
+		members map[string]fleet.Member
+		brokers map[string]string
+	}
+)
+
 func newParts() *parts {
-	return &parts{former: map[uint64]map[string]*fleet.Target{}, lists: map[uint64]*peerv1.TargetList{}}
+	return &parts{
+		targets: newListPart(targetsSince), slices: newListPart(slicesSince), members: newListPart(membersSince),
+	}
 }
 
 // versions returns the present digests.
-func (p *parts) versions() *peerv1.PartVersions {
-	if p.slices == nil && p.owned != nil {
-		p.slices, p.digests.Slices = slicesToWire(p.owned), digestSlices(p.owned)
+func (p *parts) versions(now time.Time) *peerv1.PartVersions {
+	if p.newOwned && now.Sub(p.slicesSet) >= slicesAge {
+		p.newOwned, p.slicesSet = false, now
+		p.slices.set(p.owned, digestSlices(p.owned))
 	}
 	return &peerv1.PartVersions{
-		Config: p.digests.Config, Targets: p.digests.Targets, Slices: p.digests.Slices, Members: p.digests.Members,
+		Config: p.configVersion, Targets: p.targets.digest, Slices: p.slices.digest, Members: p.members.digest,
 	}
 }
 
 func (p *parts) setConfig(config *fleet.Config) {
-	if config.Version == p.digests.Config {
+	if config.Version == p.configVersion {
 		return
 	}
-	p.config, p.digests.Config = encodeConfig(config), config.Version
+	p.config, p.configVersion = partOf(encodeConfig(config)), config.Version
 }
 
 func (p *parts) setTargets(targets map[string]*fleet.Target, evacuated map[string]bool) {
-	digest := digestTargets(targets, evacuated)
-	if digest == p.digests.Targets {
-		p.targets = targets
-		return
-	}
-	p.targets, p.evacuated, p.digests.Targets = targets, evacuated, digest
-	p.former[digest] = targets
-	p.order = append(p.order, digest)
-	if len(p.order) > keptLists {
-		delete(p.former, p.order[0])
-		p.order = p.order[1:]
-	}
-	clear(p.lists)
+	p.targets.set(targetSet{targets, evacuated}, digestTargets(targets, evacuated))
 }
 
-// targetList returns what a VM lacks that has the list with a digest.
-func (p *parts) targetList(have uint64, now time.Time) *peerv1.TargetList {
-	if now.Sub(p.listsAt) > partAge {
-		clear(p.lists)
-		p.listsAt = now
-	}
-	if p.former[have] == nil {
-		have = 0
-	}
-	list := p.lists[have]
-	if list == nil {
-		list = differenceOf(p.former[have], p.targets, now)
-		list.Base = have
-		list.Evacuated = slices.Sorted(maps.Keys(p.evacuated))
-		p.lists[have] = list
-	}
-	return list
-}
-
-func (p *parts) setSlices(services map[string][]fleet.Slice) {
-	p.owned, p.slices = services, nil
-}
+func (p *parts) setSlices(services sliceSet) { p.owned, p.newOwned = services, true }
 
 func (p *parts) setMembers(members map[string]fleet.Member, brokers map[string]string) {
-	p.members = membersToWire(members, brokers)
-	p.digests.Members = digestMembers(members, brokers)
+	p.members.set(memberSet{members, brokers}, digestMembers(members, brokers))
 }
 
 // digest hashes values in order.
--- a/internal/process/coordinator/parts_test.go
+++ b/internal/process/coordinator/parts_test.go
@@ -1,13 +1,19 @@
 package coordinator
 
 import (
+	"encoding/binary"
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
@@ -33,6 +39,35 @@
 	return next
 }
 
+// manySlices returns the slices of a service whose targets own one each.
+func manySlices(count int) sliceSet {
+	list := make([]fleet.Slice, count)
+	width := fleet.Keys / count
+	for i := range list {
+		list[i] = fleet.Slice{
+			First: uint16(i * width), Last: uint16((i+1)*width - 1), Owner: fleet.Life{ID: fmt.Sprintf("i-%08d", i), Born: 1700000000000}, Fence: uint64(i + 1),
+		}
+	}
+	list[count-1].Last = fleet.Keys - 1
+	return sliceSet{"service": list}
+}
+
+func manyMembers(count int) map[string]fleet.Member {
+	members := map[string]fleet.Member{}
+	for i := range count {
+		vm := fmt.Sprintf("edge-%03d", i)
+		members[vm] = fleet.Member{VM: vm, Incarnation: vm + "-1", Address: "10.128.0.9:7000", Processor: 800, FailureDomain: "a"}
+	}
+	return members
+}
+
+// received decodes a part into a list.
+func received[L proto.Message](t *testing.T, part *peerv1.Part, list L) L {
+	t.Helper()
+	assert.NilError(t, decodePart(part, list))
+	return list
+}
+
 // TestDifferenceBringsUpToDate: a VM that has a former list gets what changed,
 // in a message that does not grow with the fleet.
 func TestDifferenceBringsUpToDate(t *testing.T) {
@@ -40,41 +75,155 @@
 	p := newParts()
 	first := manyTargets(200)
 	p.setTargets(first, nil)
-	full := p.targetList(0, now)
-	has, _ := targetsFromWire(full, nil, now)
-	base := p.digests.Targets
+	full := p.targets.since(0, now)
+	has, _ := applyTargets(received(t, full, &peerv1.TargetList{}), nil, now)
+	base := p.targets.digest
 
 	second := changed(first, "i-00000007", func(t *fleet.Target) { t.Leaving = true })
 	delete(second, "i-00000003")
 	p.setTargets(second, map[string]bool{"b": true})
-	difference := p.targetList(base, now)
-	assert.Assert(t, proto.Size(difference) < proto.Size(full)/50, "%d bytes of %d", proto.Size(difference), proto.Size(full))
-	got, evacuated := targetsFromWire(difference, has, now)
+	difference := p.targets.since(base, now)
+	assert.Assert(t, proto.Size(difference) < 150, "%d bytes", proto.Size(difference))
+	got, evacuated := applyTargets(received(t, difference, &peerv1.TargetList{}), has, now)
 	assert.Equal(t, len(got), 199)
 	assert.Assert(t, got["i-00000007"].Leaving && got["i-00000003"] == nil && evacuated["b"])
-	assert.Equal(t, digestTargets(got, evacuated), p.digests.Targets)
+	assert.Equal(t, digestTargets(got, evacuated), p.targets.digest)
+}
+
+// TestSlicesTravelAsDifferences: a change of a few owners is sent as a message of
+// their size, whatever the number of slices; any series of moves, joins and
+// confirmations leads to the leader's list.
+func TestSlicesTravelAsDifferences(t *testing.T) {
+	now := time.Now()
+	p := newParts()
+	publish := func(set sliceSet) {
+		p.setSlices(set)
+		now = now.Add(slicesAge)
+		p.versions(now)
+	}
+	present := manySlices(3000)
+	publish(present)
+	whole := p.slices.since(0, now)
+	has, have := applySlices(received(t, whole, &peerv1.SliceList{}), nil), p.slices.digest
+	assert.Equal(t, digestSlices(has), have)
+
+	random := rand.New(rand.NewPCG(1, 2))
+	fence := uint64(len(present["service"]))
+	for range 300 {
+		list := slices.Clone(present["service"])
+		switch i := random.IntN(len(list) - 1); random.IntN(4) {
+		case 0:
+			list[i].Ready = !list[i].Ready
+		case 1:
+			fence++
+			list[i].Owner, list[i].Fence, list[i].Ready = list[random.IntN(len(list))].Owner, fence, false
+		case 2:
+			list[i].Last = list[i+1].Last
+			list = slices.Delete(list, i+1, i+2)
+		case 3:
+			if list[i].First < list[i].Last {
+				second := list[i]
+				list[i].Last = list[i].First
+				second.First = list[i].First + 1
+				list = slices.Insert(list, i+1, second)
+			}
+		}
+		present = sliceSet{"service": list}
+		publish(present)
+		difference := p.slices.since(have, now)
+		assert.Assert(t, difference.Base == have && proto.Size(difference) < 200, "%d bytes", proto.Size(difference))
+		has, have = applySlices(received(t, difference, &peerv1.SliceList{}), has), p.slices.digest
+		assert.Equal(t, digestSlices(has), have)
+	}
+
+	publish(sliceSet{"other": present["service"][:7]})
+	has = applySlices(received(t, p.slices.since(have, now), &peerv1.SliceList{}), has)
+	assert.Equal(t, digestSlices(has), p.slices.digest)
+}
+
+// TestOwnersAreNotSentForEachConfirmation: while grants are confirmed one by one,
+// the slices get a few versions a second, and the last of them is the present one.
+func TestOwnersAreNotSentForEachConfirmation(t *testing.T) {
+	now := time.Now()
+	p := newParts()
+	present := manySlices(1000)
+	versions := map[uint64]bool{}
+	for i := range 1000 {
+		list := slices.Clone(present["service"])
+		list[i].Ready = true
+		present = sliceSet{"service": list}
+		p.setSlices(present)
+		now = now.Add(time.Millisecond)
+		versions[p.versions(now).Slices] = true
+	}
+	assert.Assert(t, len(versions) <= int(time.Second/slicesAge)+1, "%d versions", len(versions))
+	assert.Equal(t, p.versions(now.Add(slicesAge)).Slices, digestSlices(present))
+}
+
+// TestMembersTravelAsDifferences: the same for VMs that come and go.
+func TestMembersTravelAsDifferences(t *testing.T) {
+	now := time.Now()
+	p := newParts()
+	members, brokers := manyMembers(300), map[string]string{"a": "edge-000", "b": "edge-000"}
+	p.setMembers(members, brokers)
+	has, have := applyMembers(received(t, p.members.since(0, now), &peerv1.MemberList{}), memberSet{}), p.members.digest
+
+	members = maps.Clone(members)
+	delete(members, "edge-007")
+	members["edge-300"] = fleet.Member{VM: "edge-300", Incarnation: "1", Address: "10.0.0.1:7000"}
+	p.setMembers(members, map[string]string{"a": "edge-001"})
+	difference := p.members.since(have, now)
+	assert.Assert(t, difference.Base == have && proto.Size(difference) < 150, "%d bytes", proto.Size(difference))
+	has = applyMembers(received(t, difference, &peerv1.MemberList{}), has)
+	assert.DeepEqual(t, has.members, members)
+	assert.DeepEqual(t, has.brokers, map[string]string{"a": "edge-001"})
 }
 
-// TestUnknownBaseGetsEverything.
+// TestUnknownBaseGetsEverything: also one that has become too old.
 func TestUnknownBaseGetsEverything(t *testing.T) {
 	p := newParts()
-	p.setTargets(manyTargets(5), nil)
-	list := p.targetList(12345, time.Now())
-	assert.Equal(t, list.Base, uint64(0))
-	assert.Equal(t, len(list.Targets), 5)
+	targets := manyTargets(5)
+	p.setTargets(targets, nil)
+	first := p.targets.digest
+	part := p.targets.since(12345, time.Now())
+	assert.Equal(t, part.Base, uint64(0))
+	assert.Equal(t, len(received(t, part, &peerv1.TargetList{}).Targets), 5)
+	for range keptLists {
+		targets = changed(targets, "i-00000001", func(t *fleet.Target) { t.Born++ })
+		p.setTargets(targets, nil)
+	}
+	assert.Equal(t, p.targets.since(first, time.Now()).Base, uint64(0))
+	assert.Equal(t, len(p.targets.former), keptLists)
+}
+
+// TestLargePartsAreCompressed: whole lists of a large fleet go to every VM that
+// starts; damaged ones are reported.
+func TestLargePartsAreCompressed(t *testing.T) {
+	now := time.Now()
+	p := newParts()
+	p.setTargets(manyTargets(3000), nil)
+	part := p.targets.since(0, now)
+	body, err := bodyOf(part)
+	assert.NilError(t, err)
+	assert.Assert(t, part.Compressed && len(part.Body) < len(body)/2, "%d of %d bytes", len(part.Body), len(body))
+	damaged := &peerv1.Part{Body: part.Body[:len(part.Body)/2], Compressed: true}
+	assert.Assert(t, fault.Is(decodePart(damaged, &peerv1.TargetList{}), fault.Invalid))
+	assert.Assert(t, fault.Is(decodePart(&peerv1.Part{Body: []byte{0xff}}, &peerv1.TargetList{}), fault.Invalid))
+	huge := &peerv1.Part{Body: binary.AppendUvarint(nil, largestBody+1), Compressed: true}
+	assert.Assert(t, fault.Is(decodePart(huge, &peerv1.TargetList{}), fault.Invalid))
 }
 
 // TestSameContentHasOneName: a new leader with the same knowledge sends nothing
 // again.
 func TestSameContentHasOneName(t *testing.T) {
 	a, b := newParts(), newParts()
-	targets := manyTargets(20)
-	a.setTargets(targets, map[string]bool{"x": true, "y": true})
-	again, evacuated := targetsFromWire(a.targetList(0, time.Now()), nil, time.Now())
+	now := time.Now()
+	a.setTargets(manyTargets(20), map[string]bool{"x": true, "y": true})
+	again, evacuated := applyTargets(received(t, a.targets.since(0, now), &peerv1.TargetList{}), nil, now)
 	b.setTargets(again, evacuated)
-	assert.Equal(t, a.digests.Targets, b.digests.Targets)
+	assert.Equal(t, a.targets.digest, b.targets.digest)
 	b.setTargets(changed(again, "i-00000001", func(t *fleet.Target) { t.Born++ }), evacuated)
-	assert.Assert(t, a.digests.Targets != b.digests.Targets)
+	assert.Assert(t, a.targets.digest != b.targets.digest)
 }
 
 // TestTakeOverDecision: who may take over from whom.
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -76,7 +76,7 @@
 func (c *Coordinator) push(m *member, now time.Time) {
 	l := c.lead
 	state := &peerv1.FleetState{
-		Term: l.record.Term, Leader: identity(c.config.Self), Versions: l.parts.versions(),
+		Term: l.record.Term, Leader: identity(c.config.Self), Versions: l.parts.versions(now),
 		StoreLost: l.storeLost, Leaving: c.leaving, Outranked: l.outranked, RecordWrite: l.record.Write,
 	}
 	if m.sent != nil {
@@ -88,21 +88,23 @@
 // addParts adds the parts to a state that a VM lacks.
 func (c *Coordinator) addParts(state *peerv1.FleetState, m *member, now time.Time) {
 	p := c.lead.parts
-	if m.sent.Config < p.digests.Config {
-		state.Config, m.sent.Config, m.sentAt = p.config, p.digests.Config, now
+	if m.sent.Config < p.configVersion {
+		state.Config, m.sent.Config, m.sentAt = p.config, p.configVersion, now
 	}
-	if m.sent.Targets != p.digests.Targets {
-		state.Targets = p.targetList(m.sent.Targets, now)
-		m.sent.Targets, m.sentAt = p.digests.Targets, now
+	if m.sent.Targets != p.targets.digest {
+		state.Targets = p.targets.since(m.sent.Targets, now)
+		m.sent.Targets, m.sentAt = p.targets.digest, now
 	}
 	if now.Sub(m.detailsAt) < c.detailPause() {
 		return
 	}
-	if p.slices != nil && m.sent.Slices != p.digests.Slices {
-		state.Slices, m.sent.Slices, m.sentAt, m.detailsAt = p.slices, p.digests.Slices, now, now
+	if m.sent.Slices != p.slices.digest {
+		state.Slices = p.slices.since(m.sent.Slices, now)
+		m.sent.Slices, m.sentAt, m.detailsAt = p.slices.digest, now, now
 	}
-	if m.sent.Members != p.digests.Members {
-		state.Members, m.sent.Members, m.sentAt, m.detailsAt = p.members, p.digests.Members, now, now
+	if m.sent.Members != p.members.digest {
+		state.Members = p.members.since(m.sent.Members, now)
+		m.sent.Members, m.sentAt, m.detailsAt = p.members.digest, now, now
 	}
 }
 
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -1,30 +1,38 @@
 package coordinator
 
 import (
+	"cmp"
 	"maps"
-	"sort"
+	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
-// differenceOf writes the targets that are new or different since a former list,
-// which may be nil. How long a target is cold is relative to now, and sent for
-// every target that is.
-func differenceOf(former, present map[string]*fleet.Target, now time.Time) *peerv1.TargetList {
-	list := &peerv1.TargetList{}
-	for id, t := range present {
-		if before := former[id]; before == nil || *before != *t {
+// targetsSince writes the targets that are new or different since a former list.
+// How long a target is cold is relative to now.
+func targetsSince(former, present targetSet, now time.Time) proto.Message {
+	list := &peerv1.TargetList{Evacuated: slices.Sorted(maps.Keys(present.evacuated)), Removed: lacking(former.targets, present.targets)}
+	for id, t := range present.targets {
+		if before := former.targets[id]; before == nil || *before != *t {
 			list.Targets = append(list.Targets, targetToWire(t, now))
 		}
 	}
-	for id := range former {
-		if present[id] == nil {
-			list.Removed = append(list.Removed, id)
+	return list
+}
+
+// lacking returns the keys of former that present has not.
+func lacking[V any](former, present map[string]V) []string {
+	var keys []string
+	for key := range former {
+		if _, kept := present[key]; !kept {
+			keys = append(keys, key)
 		}
 	}
-	return list
+	return keys
 }
 
 func targetToWire(t *fleet.Target, now time.Time) *peerv1.TargetState {
@@ -34,12 +42,10 @@
 	}
 }
 
-// targetsFromWire returns the targets after a list or a difference to former.
-func targetsFromWire(list *peerv1.TargetList, former map[string]*fleet.Target, now time.Time) (map[string]*fleet.Target, map[string]bool) {
+// applyTargets returns the targets after a list to which former is the base.
+func applyTargets(list *peerv1.TargetList, former map[string]*fleet.Target, now time.Time) (map[string]*fleet.Target, map[string]bool) {
 	targets := make(map[string]*fleet.Target, len(former)+len(list.Targets))
-	if list.Base != 0 {
-		maps.Copy(targets, former)
-	}
+	maps.Copy(targets, former)
 	for _, t := range list.Targets {
 		targets[t.Id] = &fleet.Target{
 			Life: fleet.Life{ID: t.Id, Born: t.Born}, Service: t.Service, Address: t.Address, FailureDomain: t.FailureDomain,
@@ -56,47 +62,134 @@
 	return targets, evacuated
 }
 
-func slicesToWire(services map[string][]fleet.Slice) *peerv1.SliceList {
+// slicesSince writes the slices that are new or different since a former list.
+func slicesSince(former, present sliceSet, _ time.Time) proto.Message {
 	list := &peerv1.SliceList{}
-	for service, owned := range services {
-		for _, s := range owned {
-			list.Slices = append(list.Slices, &peerv1.SliceState{
-				Service: service, First: uint32(s.First), Last: uint32(s.Last),
-				Owner: s.Owner.ID, OwnerBorn: s.Owner.Born, Fence: s.Fence, Ready: s.Ready,
-			})
+	for service, owned := range present {
+		if changed := serviceSince(former[service], owned); changed != nil {
+			changed.Service = service
+			list.Services = append(list.Services, changed)
+		}
+	}
+	for service, owned := range former {
+		if _, kept := present[service]; !kept && len(owned) > 0 {
+			gone := serviceSince(owned, nil)
+			gone.Service = service
+			list.Services = append(list.Services, gone)
 		}
 	}
 	return list
 }
 
-func slicesFromWire(list *peerv1.SliceList) map[string][]fleet.Slice {
-	services := map[string][]fleet.Slice{}
-	for _, s := range list.Slices {
-		services[s.Service] = append(services[s.Service], fleet.Slice{
-			First: uint16(s.First), Last: uint16(s.Last), Owner: fleet.Life{ID: s.Owner, Born: s.OwnerBorn},
-			Fence: s.Fence, Ready: s.Ready,
-		})
+// serviceSince writes what is new in a sorted list; nil if nothing is.
+func serviceSince(former, present []fleet.Slice) *peerv1.ServiceSlices {
+	difference := &peerv1.ServiceSlices{}
+	for i := range present {
+		s := &present[i]
+		for len(former) > 0 && former[0].First < s.First {
+			difference.Removed = append(difference.Removed, uint32(former[0].First))
+			former = former[1:]
+		}
+		known := len(former) > 0 && former[0].First == s.First
+		if !known || !sameSlice(&former[0], s) {
+			difference.Slices = append(difference.Slices, &peerv1.SliceState{
+				First: uint32(s.First), Last: uint32(s.Last), Owner: s.Owner.ID, OwnerBorn: s.Owner.Born, Fence: s.Fence, Ready: s.Ready,
+			})
+		}
+		if known {
+			former = former[1:]
+		}
+	}
+	for i := range former {
+		difference.Removed = append(difference.Removed, uint32(former[i].First))
 	}
-	for _, owned := range services {
-		sort.Slice(owned, func(i, j int) bool { return owned[i].First < owned[j].First })
+	if len(difference.Slices) == 0 && len(difference.Removed) == 0 {
+		return nil
+	}
+	return difference
+}
+
+// sameSlice compares what other VMs are told of a slice.
+func sameSlice(a, b *fleet.Slice) bool {
+	return a.First == b.First && a.Last == b.Last && a.Owner == b.Owner && a.Fence == b.Fence && a.Ready == b.Ready
+}
+
+// applySlices returns the slices after a list to which former is the base.
+func applySlices(list *peerv1.SliceList, former sliceSet) sliceSet {
+	services := maps.Clone(former)
+	if services == nil {
+		services = sliceSet{}
+	}
+	for _, difference := range list.Services {
+		services[difference.Service] = applyService(difference, former[difference.Service])
+		if len(services[difference.Service]) == 0 {
+			delete(services, difference.Service)
+		}
 	}
 	return services
 }
 
-func membersToWire(members map[string]fleet.Member, brokers map[string]string) *peerv1.MemberList {
-	list := &peerv1.MemberList{Brokers: brokers}
-	for _, m := range members {
-		list.Members = append(list.Members, identity(m))
+func applyService(difference *peerv1.ServiceSlices, former []fleet.Slice) []fleet.Slice {
+	replaced := make(map[uint16]bool, len(difference.Slices)+len(difference.Removed))
+	for _, first := range difference.Removed {
+		replaced[uint16(first)] = true
+	}
+	owned := make([]fleet.Slice, 0, len(former)+len(difference.Slices))
+	for _, s := range difference.Slices {
+		replaced[uint16(s.First)] = true
+		owned = append(owned, fleet.Slice{
+			First: uint16(s.First), Last: uint16(s.Last), Owner: fleet.Life{ID: s.Owner, Born: s.OwnerBorn}, Fence: s.Fence, Ready: s.Ready,
+		})
+	}
+	for _, s := range former {
+		if !replaced[s.First] {
+			owned = append(owned, s)
+		}
+	}
+	slices.SortFunc(owned, func(a, b fleet.Slice) int { return cmp.Compare(a.First, b.First) })
+	return owned
+}
+
+// membersSince writes the VMs and brokers that are new or different since a
+// former list.
+func membersSince(former, present memberSet, _ time.Time) proto.Message {
+	list := &peerv1.MemberList{
+		Brokers: map[string]string{},
+		Removed: lacking(former.members, present.members), RemovedBrokers: lacking(former.brokers, present.brokers),
+	}
+	for vm, m := range present.members {
+		if before, known := former.members[vm]; !known || before != m {
+			list.Members = append(list.Members, identity(m))
+		}
+	}
+	for service, vm := range present.brokers {
+		if former.brokers[service] != vm {
+			list.Brokers[service] = vm
+		}
 	}
 	return list
 }
 
-func membersFromWire(list *peerv1.MemberList) (map[string]fleet.Member, map[string]string) {
-	members := make(map[string]fleet.Member, len(list.Members))
+// applyMembers returns the VMs and brokers after a list to which former is the base.
+func applyMembers(list *peerv1.MemberList, former memberSet) memberSet {
+	after := memberSet{maps.Clone(former.members), maps.Clone(former.brokers)}
+	if after.members == nil {
+		after.members = map[string]fleet.Member{}
+	}
+	if after.brokers == nil {
+		after.brokers = map[string]string{}
+	}
 	for _, m := range list.Members {
-		members[m.Vm] = memberFromWire(m)
+		after.members[m.Vm] = memberFromWire(m)
+	}
+	maps.Copy(after.brokers, list.Brokers)
+	for _, vm := range list.Removed {
+		delete(after.members, vm)
+	}
+	for _, service := range list.RemovedBrokers {
+		delete(after.brokers, service)
 	}
-	return members, list.Brokers
+	return after
 }
 
 func memberFromWire(m *peerv1.VmIdentity) fleet.Member {
