A new leader vouches only for grants that are known to be renewed

The new leader counted every grant as renewed until it last heard the former leader, which had not reached the target for most of a grant's length, and renewed it: two processes had the same fence.

Change: slices carry whether they are renewed. A leader that takes over vouches for those from the moment up to which its list is known, less the time for which a slice counts as renewed; that moment is the sending of its own report that the former leader had taken in, so that a message delayed on its way does not count as new. All others get a fence of their own, at once, before moves are planned.

TestAddressIsTakenOverBeforeTheLeadChanges fails without the change.

--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -74,8 +74,9 @@
 	// Following: what is known of the leader.
 	startedAt time.Time
 	heardAt   time.Time
-	// ledUntil is when a leader was last heard, or this VM last led; zero if never.
-	ledUntil time.Time
+	// slicesAsOf is the uptime up to which the view is known to have had the
+	// leader's slices; 0 if never.
+	slicesAsOf time.Duration
 	// heardNanos is heardAt for readers outside the loop.
 	heardNanos atomic.Int64
 	reportAt   time.Time
--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -226,6 +226,31 @@
 	})
 }
 
+// TestAddressIsTakenOverBeforeTheLeadChanges: the leader does not reach a target,
+// which ends, and another starts at its address before its entry has lapsed. The
+// next leader, whose start the store delays, reaches the address, and must not
+// renew what its predecessor could not.
+func TestAddressIsTakenOverBeforeTheLeadChanges(t *testing.T) {
+	run(t, seed.Value, 4, 5, func(w *world) {
+		w.set(func() { w.fencesOfAll = true })
+		w.servedWithin(2 * time.Second)
+		time.Sleep(2 * time.Second)
+		leader, _ := w.leader()
+		w.cutFor(8*time.Second, leader+">t2")
+		w.endTarget("t2")
+		time.Sleep(longerThanAGrant - 1200*time.Millisecond)
+		w.nodes[leader].freeze(8 * time.Second)
+		w.set(func() { w.outage = true })
+		time.Sleep(1200 * time.Millisecond)
+		w.set(func() { w.outage = false })
+		next := w.startAt("t2", "t2-next")
+		time.AfterFunc(1500*time.Millisecond, func() { w.put("servers/t2-next", next.Target) })
+		time.AfterFunc(2*time.Second, func() { w.remove("servers/t2") })
+		w.servedWithin(8 * time.Second)
+		time.Sleep(2 * time.Second)
+	})
+}
+
 // longerThanAGrant is for how long an address has to be unused for its next target
 // to be told from the former one under any faults.
 const longerThanAGrant = 3500 * time.Millisecond
--- a/internal/process/coordinator/doubt.go
+++ b/internal/process/coordinator/doubt.go
@@ -19,6 +19,39 @@
 	k.vouchedUntil[fence] = now.Add(k.hold)
 }
 
+// renewedWithin is the time since an owner's last confirmation up to which its
+// slices count as renewed: one renewal may be missing.
+const renewedWithin = 2 * renewEvery
+
+// noteRenewed notes which slices are renewed, and reports whether that has changed.
+func (k *keeper) noteRenewed(now time.Time) bool {
+	changed := false
+	for _, list := range k.slices {
+		for i := range list {
+			s := &list[i]
+			confirmed := k.vouchedUntil[s.Fence].Add(-k.hold)
+			renewed := s.Ready && now.Sub(confirmed) < renewedWithin
+			changed = changed || renewed != s.Renewed
+			s.Renewed = renewed
+		}
+	}
+	return changed
+}
+
+// vouchedByFormer returns until when the process at the owner's address is vouched
+// for that a former leader may have sent a fence. s is the slice as the former
+// leader had it at the time asOf, if same is set. If it was not renewed then, its
+// owner may have ended; if it was unknown, the fence is later.
+func (k *keeper) vouchedByFormer(s *fleet.Slice, same bool, asOf time.Time) time.Time {
+	switch {
+	case !same:
+		return asOf.Add(k.hold)
+	case s.Ready && s.Renewed:
+		return asOf.Add(k.hold - renewedWithin)
+	}
+	return asOf
+}
+
 // doubt ends the vouching for a life whose port refused connections but that is not
 // known to have ended.
 func (k *keeper) doubt(life fleet.Life, now time.Time) {
--- a/internal/process/coordinator/keeper.go
+++ b/internal/process/coordinator/keeper.go
@@ -139,19 +139,14 @@
 }
 
 // adopt counts slices as ready that another leader has called so, until the
-// first renewals say otherwise. It vouches for the owners, as the other leader has
-// renewed their grants until it was last heard, but for those that it has called
-// not ready: it may have known that they had ended.
-func (k *keeper) adopt(known map[string][]fleet.Slice, heard time.Time) {
+// first renewals say otherwise. asOf is the time up to which its slices are known.
+func (k *keeper) adopt(known map[string][]fleet.Slice, asOf time.Time) {
 	for service, list := range k.slices {
 		for i := range list {
 			s := fleet.Find(known[service], list[i].First)
 			same := s != nil && s.Fence == list[i].Fence && s.Owner == list[i].Owner
 			list[i].Ready = same && s.Ready && len(list[i].From) == 0
-			k.vouch(list[i].Fence, heard)
-			if same && !s.Ready {
-				k.vouchedUntil[list[i].Fence] = heard
-			}
+			k.vouchedUntil[list[i].Fence] = k.vouchedByFormer(s, same, asOf)
 		}
 	}
 }
@@ -320,7 +315,7 @@
 	if became {
 		k.readySince[idOf(s)] = now
 	}
-	s.Ready = true
+	s.Ready, s.Renewed = true, true
 	return became
 }
 
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -45,8 +45,11 @@
 	for _, s := range l.keeper.expire(now) {
 		events.GrantsRanOut.Log(c.config.Logger).Int("first", int(s.First)).Int("last", int(s.Last)).Uint64("fence", s.Fence).Send()
 	}
-	if !l.writing && !now.Before(l.planAt) && now.Sub(l.since) > settle {
-		l.planAt = now.Add(planEvery)
+	if l.keeper.noteRenewed(now) {
+		c.slicesChanged()
+	}
+	c.slicesAsOf = c.config.Uptime()
+	if !l.writing && !now.Before(l.planAt) {
 		c.planMoves(now)
 	}
 	c.carryOutDue(now)
@@ -59,9 +62,14 @@
 	}
 }
 
-// planMoves looks for the first service whose keys should move and writes the moves.
+// planMoves looks for the first service whose keys should move and writes the
+// moves. Until the declarations have settled, it only gives slices anew.
 func (c *Coordinator) planMoves(now time.Time) {
 	l := c.lead
+	settled := now.Sub(l.since) > settle
+	if settled {
+		l.planAt = now.Add(planEvery)
+	}
 	for i := range c.view.Config.Services {
 		service := &c.view.Config.Services[i]
 		if !service.Keyed {
@@ -73,6 +81,9 @@
 		if len(current) > 0 && c.regrant(service.Name, owners, now) {
 			return
 		}
+		if !settled {
+			continue
+		}
 		if len(current) == 0 {
 			moves = keyspace.Initial(owners)
 		} else {
@@ -160,7 +171,7 @@
 	for i := range merged {
 		for _, s := range live {
 			if s.Fence == merged[i].Fence && s.First <= merged[i].First && merged[i].Last <= s.Last {
-				merged[i].From, merged[i].Ready = s.From, s.Ready
+				merged[i].From, merged[i].Ready, merged[i].Renewed = s.From, s.Ready, s.Renewed
 			}
 		}
 	}
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
@@ -136,7 +135,7 @@
 	}
 	// The own view goes its own ways from here on.
 	c.have = &peerv1.PartVersions{}
-	l.keeper.adopt(c.view.Slices, cmp.Or(c.ledUntil, time.Now()))
+	l.keeper.adopt(c.view.Slices, c.slicesKnownAt())
 	view := *c.view
 	view.Term, view.Leader = l.record.Term, c.config.Self
 	c.publish(&view)
@@ -146,6 +145,15 @@
 	c.pushAll()
 }
 
+// slicesKnownAt is the time up to which the view is known to have had the leader's
+// slices; zero if never.
+func (c *Coordinator) slicesKnownAt() time.Time {
+	if c.slicesAsOf == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(c.slicesAsOf - c.config.Uptime())
+}
+
 // stepDown ends the leadership.
 func (c *Coordinator) stepDown(why string) {
 	if c.lead == nil {
@@ -153,7 +161,6 @@
 	}
 	events.LeadershipLost.Log(c.config.Logger).Uint64("term", c.lead.record.Term).Str("reason", why).Send()
 	c.lead = nil
-	c.ledUntil = time.Now()
 	c.observer.Stop()
 	c.heardAt = time.Now().Add(-silentAfter)
 	c.lookAt = time.Time{}
--- a/internal/process/coordinator/parts.go
+++ b/internal/process/coordinator/parts.go
@@ -105,6 +105,16 @@
 	}
 }
 
+func (d *digest) flags(values ...bool) {
+	for _, value := range values {
+		if value {
+			d.number(1)
+		} else {
+			d.number(0)
+		}
+	}
+}
+
 // sum is never 0, which means that a VM has nothing.
 func (d *digest) sum() uint64 { return d.hash.Sum64() | 1 }
 
@@ -113,11 +123,8 @@
 	for _, id := range slices.Sorted(maps.Keys(targets)) {
 		t := targets[id]
 		d.text(t.ID, t.Service, t.Address, t.FailureDomain)
-		leaving := uint64(0)
-		if t.Leaving {
-			leaving = 1
-		}
-		d.number(uint64(t.Born), uint64(t.Slots), leaving)
+		d.number(uint64(t.Born), uint64(t.Slots))
+		d.flags(t.Leaving)
 	}
 	d.text(slices.Sorted(maps.Keys(evacuated))...)
 	return d.sum()
@@ -128,12 +135,9 @@
 	for _, service := range slices.Sorted(maps.Keys(services)) {
 		d.text(service)
 		for _, s := range services[service] {
-			ready := uint64(0)
-			if s.Ready {
-				ready = 1
-			}
 			d.text(s.Owner.ID)
-			d.number(uint64(s.First), uint64(s.Last), uint64(s.Owner.Born), s.Fence, ready)
+			d.number(uint64(s.First), uint64(s.Last), uint64(s.Owner.Born), s.Fence)
+			d.flags(s.Ready, s.Renewed)
 		}
 	}
 	return d.sum()
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -93,7 +93,8 @@
 		known := len(former) > 0 && former[0].First == s.First
 		if !known || !sameSlice(&former[0], s) {
 			difference.Slices = append(difference.Slices, &peerv1.SliceState{
-				First: uint32(s.First), Last: uint32(s.Last), Owner: s.Owner.ID, OwnerBorn: s.Owner.Born, Fence: s.Fence, Ready: s.Ready,
+				First: uint32(s.First), Last: uint32(s.Last), Owner: s.Owner.ID, OwnerBorn: s.Owner.Born, Fence: s.Fence,
+				Ready: s.Ready, Renewed: s.Renewed,
 			})
 		}
 		if known {
@@ -111,7 +112,7 @@
 
 // sameSlice compares what other VMs are told of a slice.
 func sameSlice(a, b *fleet.Slice) bool {
-	return a.First == b.First && a.Last == b.Last && a.Owner == b.Owner && a.Fence == b.Fence && a.Ready == b.Ready
+	return a.First == b.First && a.Last == b.Last && a.Owner == b.Owner && a.Fence == b.Fence && a.Ready == b.Ready && a.Renewed == b.Renewed
 }
 
 // applySlices returns the slices after a list to which former is the base.
@@ -138,7 +139,8 @@
 	for _, s := range difference.Slices {
 		replaced[uint16(s.First)] = true
 		owned = append(owned, fleet.Slice{
-			First: uint16(s.First), Last: uint16(s.Last), Owner: fleet.Life{ID: s.Owner, Born: s.OwnerBorn}, Fence: s.Fence, Ready: s.Ready,
+			First: uint16(s.First), Last: uint16(s.Last), Owner: fleet.Life{ID: s.Owner, Born: s.OwnerBorn}, Fence: s.Fence,
+			Ready: s.Ready, Renewed: s.Renewed,
 		})
 	}
 	for _, s := range former {
--- a/internal/version/fleet/view.go
+++ b/internal/version/fleet/view.go
@@ -45,6 +45,8 @@
 	From []Life `json:"from,omitempty"`
 	// Ready is set once the owner has confirmed the grant. It is not kept.
 	Ready bool `json:"-"`
+	// Renewed is set while the owner goes on confirming it. It is not kept.
+	Renewed bool `json:"-"`
 }
 
 // Contains reports whether the slice has the key.
