A new leader goes on with the budgets of repeats of the former one

Change: heartbeats carry the counts of the services with repeats, and a new leader adopts them as of when it last heard them.

--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -58,6 +58,10 @@
 	Dial func(ctx context.Context, address string) error
 	// Demand hands out the own broker's measured demand for keys of a service.
 	Demand func(service string, now time.Time, use func(*keyspace.Load))
+	// Repeats returns the use of the own broker's budgets; AdoptRepeats counts what
+	// the former leader's broker had let run when it was last heard.
+	Repeats      func(now time.Time) map[string]admission.RepeatCount
+	AdoptRepeats func(counts map[string]admission.RepeatCount, heard time.Time)
 	// Uptime is the time since the VM's start, with the time for which it was
 	// suspended.
 	Uptime func() time.Duration
@@ -79,8 +83,10 @@
 	slicesAsOf time.Duration
 	// heardNanos is heardAt for readers outside the loop.
 	heardNanos atomic.Int64
-	reportAt   time.Time
-	yielding   bool
+	// repeats are the leader's counts when it was last heard.
+	repeats  []*peerv1.ServiceRepeats
+	reportAt time.Time
+	yielding bool
 	// lacksStore is set if the leader yields only because it has lost the store;
 	// storeFailedAt is when this VM last had no answer of it.
 	lacksStore    bool
--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
 	"github.com/chestnutcourse/chestnutcourse/internal/testutil/seed"
 )
 
@@ -251,6 +254,28 @@
 	})
 }
 
+// TestBudgetOutlivesItsLeader: a new leader knows how many repeats the former one
+// had let run, so that a budget is not spent twice.
+func TestBudgetOutlivesItsLeader(t *testing.T) {
+	run(t, seed.Value, 4, 5, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		former, _ := w.leader()
+		spent := map[string]admission.RepeatCount{service: {First: 1000, Repeated: 140}}
+		w.nodes[former].adoptRepeats(spent, time.Time{})
+		time.Sleep(time.Second)
+		ended := time.Now()
+		w.killNode(former)
+		time.Sleep(3 * time.Second)
+		next, _ := w.leader()
+		n := w.nodes[next]
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		assert.Assert(t, next != former)
+		assert.DeepEqual(t, n.repeated, spent)
+		assert.Assert(t, ended.Sub(n.repeatedAt).Abs() < time.Second, "heard %v before the end", ended.Sub(n.repeatedAt))
+	})
+}
+
 // longerThanAGrant is for how long an address has to be unused for its next target
 // to be told from the former one under any faults.
 const longerThanAGrant = 3500 * time.Millisecond
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -58,6 +58,10 @@
 	// superseded is set once no former leader can act any more.
 	superseded bool
 
+	// repeats are the counts of the own broker as of repeatsAt.
+	repeats   []*peerv1.ServiceRepeats
+	repeatsAt time.Time
+
 	storeHeardAt time.Time
 	storeLost    bool
 	// outranked is set while the lead is left to a VM that can do more.
@@ -136,6 +140,8 @@
 	// The own view goes its own ways from here on.
 	c.have = &peerv1.PartVersions{}
 	l.keeper.adopt(c.view.Slices, c.slicesKnownAt())
+	c.config.AdoptRepeats(repeatsFromWire(c.repeats), c.heardAt)
+	c.repeats = nil
 	view := *c.view
 	view.Term, view.Leader = l.record.Term, c.config.Self
 	c.publish(&view)
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -99,7 +99,7 @@
 	view.Term = state.Term
 	view.Leader = memberFromWire(state.Leader)
 	c.heard(now)
-	c.heardWrite = state.RecordWrite
+	c.heardWrite, c.repeats = state.RecordWrite, state.Repeats
 	c.lacksStore = state.StoreLost && !state.Leaving
 	c.yielding = state.StoreLost || state.Leaving || state.Outranked && outranks(c.config.Self, view.Leader)
 	if changed {
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -80,7 +80,7 @@
 	state := &peerv1.FleetState{
 		Term: l.record.Term, Leader: identity(c.config.Self), Versions: l.parts.versions(now),
 		StoreLost: l.storeLost, Leaving: c.leaving, Outranked: l.outranked, RecordWrite: l.record.Write,
-		ReportSentAt: m.reportSentAt,
+		ReportSentAt: m.reportSentAt, Repeats: c.presentRepeats(now),
 	}
 	if m.sent != nil {
 		c.addParts(state, m, now)
@@ -88,6 +88,15 @@
 	c.config.Sender.Send(m.VM, &peerv1.Control{Kind: &peerv1.Control_FleetState{FleetState: state}})
 }
 
+// presentRepeats returns the use of the budgets, not older than partAge.
+func (c *Coordinator) presentRepeats(now time.Time) []*peerv1.ServiceRepeats {
+	l := c.lead
+	if now.Sub(l.repeatsAt) > partAge {
+		l.repeats, l.repeatsAt = repeatsToWire(c.config.Repeats(now)), now
+	}
+	return l.repeats
+}
+
 // addParts adds the parts to a state that a VM lacks.
 func (c *Coordinator) addParts(state *peerv1.FleetState, m *member, now time.Time) {
 	p := c.lead.parts
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
@@ -194,6 +195,22 @@
 	return after
 }
 
+func repeatsToWire(counts map[string]admission.RepeatCount) []*peerv1.ServiceRepeats {
+	var list []*peerv1.ServiceRepeats
+	for service, count := range counts {
+		list = append(list, &peerv1.ServiceRepeats{Service: service, First: uint32(count.First), Repeated: uint32(count.Repeated)})
+	}
+	return list
+}
+
+func repeatsFromWire(list []*peerv1.ServiceRepeats) map[string]admission.RepeatCount {
+	counts := map[string]admission.RepeatCount{}
+	for _, r := range list {
+		counts[r.Service] = admission.RepeatCount{First: int(r.First), Repeated: int(r.Repeated)}
+	}
+	return counts
+}
+
 func memberFromWire(m *peerv1.VmIdentity) fleet.Member {
 	return fleet.Member{VM: m.Vm, Incarnation: m.Incarnation, Address: m.Address, Processor: m.ProcessorMillis, FailureDomain: m.FailureDomain}
 }
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -77,6 +77,9 @@
 	coordinator *coordinator.Coordinator
 	view        *fleet.View
 	mu          sync.Mutex
+	// repeated are the counts that the node's broker has, or has adopted.
+	repeated   map[string]admission.RepeatCount
+	repeatedAt time.Time
 }
 
 func newWorld(t *testing.T, seed uint64, nodes, targets int) *world {
@@ -126,6 +129,7 @@
 		Self:       fleet.Member{VM: name, Incarnation: n.incarnation, Address: name + ":1", Processor: processorOf(name), FailureDomain: domainOf(name)},
 		RecordName: "own/record", Names: names, Loop: n.loop, Store: nodeStore{n}, Sender: n, Targets: n,
 		LongestHold: 10 * time.Second, Publish: n.publish, Observe: n.observe, Demand: n.demand,
+		Repeats: n.repeats, AdoptRepeats: n.adoptRepeats,
 		Dial: n.dial, Uptime: func() time.Duration { return time.Since(w.began) }, Logger: &logger,
 	})
 	go n.loop.Run(ctx)
@@ -198,6 +202,19 @@
 	return admission.Observation{Slowness: 1}, true
 }
 
+// repeats shows what the node's broker has let run.
+func (n *node) repeats(time.Time) map[string]admission.RepeatCount {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.repeated
+}
+
+func (n *node) adoptRepeats(counts map[string]admission.RepeatCount, heard time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.repeated, n.repeatedAt = counts, heard
+}
+
 // demand shows an even load with a hot set that moves.
 func (n *node) demand(_ string, now time.Time, use func(*keyspace.Load)) {
 	load := keyspace.NewLoad(now)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -136,7 +136,8 @@
 		Self:       g.self,
 		RecordName: platform.RecordName, Names: platform.Names, Loop: g.loop, Store: platform.Store,
 		Sender: g.transport, Targets: platform.Targets, LongestHold: g.settings.LongestHold,
-		Publish: g.publish, Observe: g.desk.Observe, Demand: g.desk.Demand, Dial: dial, Uptime: uptime, Logger: &g.logger,
+		Publish: g.publish, Observe: g.desk.Observe, Demand: g.desk.Demand, Dial: dial,
+		Repeats: g.desk.Repeats, AdoptRepeats: g.desk.AdoptRepeats, Uptime: uptime, Logger: &g.logger,
 	})
 	g.pools = forward.NewPools(target.Form{
 		RequestIDHeader: platform.Dialect.RequestIDHeader(), Unframed: true, SkipStray: true,
--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -266,6 +266,21 @@
 	return load
 }
 
+// Repeats returns the use of the own broker's budgets.
+func (d *Desk) Repeats(now time.Time) map[string]admission.RepeatCount {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.broker.Repeats(now)
+}
+
+// AdoptRepeats counts what the broker in whose place this VM's serves had let run
+// when it was last heard.
+func (d *Desk) AdoptRepeats(counts map[string]admission.RepeatCount, heard time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.broker.AdoptRepeats(counts, heard, time.Now())
+}
+
 // Observe returns what the own broker has measured of a target.
 func (d *Desk) Observe(service, target string) (admission.Observation, bool) {
 	d.mu.Lock()
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -197,6 +197,27 @@
 	p.ask(&r, now)
 }
 
+// Repeats returns the use of the budgets of the services that had repeats lately.
+func (b *Broker) Repeats(now time.Time) map[string]RepeatCount {
+	counts := map[string]RepeatCount{}
+	for name, p := range b.pools {
+		if count := p.repeats.sum(now); count.Repeated > 0 {
+			counts[name] = count
+		}
+	}
+	return counts
+}
+
+// AdoptRepeats counts what another broker, in whose place this one serves, had let
+// run when it was last heard.
+func (b *Broker) AdoptRepeats(counts map[string]RepeatCount, heard, now time.Time) {
+	for name, count := range counts {
+		if p := b.pools[name]; p != nil {
+			p.repeats.adopt(count, heard, now)
+		}
+	}
+}
+
 // Waiting reports whether a request to a service waits in a queue.
 func (b *Broker) Waiting(service string, id ID) bool {
 	p := b.pools[service]
--- a/internal/request/admission/load_test.go
+++ b/internal/request/admission/load_test.go
@@ -218,6 +218,63 @@
 	}
 }
 
+// TestBudgetIsNotSpentTwiceWhenTheBrokerChanges: while a part of the targets refuses
+// what it gets, the broker is replaced by one that has adopted its counts as of the
+// last heartbeat. In no window do more repeats run than the budget allows.
+func TestBudgetIsNotSpentTwiceWhenTheBrokerChanges(t *testing.T) {
+	const step, changes, heartbeat = 2 * time.Millisecond, 6 * time.Second, 500 * time.Millisecond
+	var brokers []*admission.Broker
+	var repeated []time.Time
+	now := time.Unix(1700000000, 0)
+	config := usual()
+	config.Decide = func(d admission.Decision) {
+		if d.Refused == "" && d.ID.VM == "repeat" {
+			repeated = append(repeated, now)
+		}
+	}
+	view := fleetOf(fleet.Service{Name: "s"}, 200)
+	for range 2 {
+		b := admission.New(config)
+		b.Update(view, now)
+		brokers = append(brokers, b)
+	}
+	start, heard, number := now, now, uint64(0)
+	var counts map[string]admission.RepeatCount
+	ask := func(b *admission.Broker, vm string) {
+		number++
+		id := admission.ID{VM: vm, Number: number}
+		b.Ask(admission.Request{
+			ID: id, Service: "s", Class: "c", Aim: now.Add(time.Second), Deadline: now.Add(2 * time.Second), Repeat: vm == "repeat",
+		}, now)
+		b.End(admission.End{ID: id, Result: admission.NotRun}, now)
+	}
+	for now.Sub(start) < 2*changes {
+		broker := brokers[0]
+		if now.Sub(start) >= changes {
+			broker = brokers[1]
+		} else if now.Sub(heard) >= heartbeat && changes-now.Sub(start) > heartbeat/2 {
+			heard, counts = now, broker.Repeats(now)
+		}
+		if now.Sub(start) == changes {
+			broker.AdoptRepeats(counts, heard, now)
+		}
+		ask(broker, "first")
+		ask(broker, "repeat")
+		now = now.Add(step)
+	}
+	most := 0
+	for i := range repeated {
+		end := i
+		for end < len(repeated) && repeated[end].Sub(repeated[i]) < budget.Window {
+			end++
+		}
+		most = max(most, end-i)
+	}
+	allowed := budget.Ratio*float64(budget.Window/step) + float64(budget.Allowance)
+	assert.Assert(t, float64(most) <= allowed, "%d repeats in a window, %.0f allowed", most, allowed)
+	assert.Assert(t, float64(most) > allowed/2, "%d repeats in a window, %.0f allowed", most, allowed)
+}
+
 // TestLargeRequestsStayInTheirDomain while a target there will be free in time.
 func TestLargeRequestsStayInTheirDomain(t *testing.T) {
 	p := newPlay(usual(), fleetOf(fleet.Service{Name: "s"}, 8))
--- a/internal/request/admission/repeats.go
+++ b/internal/request/admission/repeats.go
@@ -41,14 +41,37 @@
 
 func (c *repeats) spend(now time.Time) { c.advance(now).repeated++ }
 
-// allow reports whether one more repeat is within the budget.
-func (c *repeats) allow(now time.Time) bool {
+// RepeatCount is how many requests came within the window of a budget for the
+// first time, and how many repeats were let run.
+type RepeatCount struct{ First, Repeated int }
+
+// sum returns what is in the window.
+func (c *repeats) sum(now time.Time) RepeatCount {
 	c.advance(now)
-	first, repeated := 0, 0
+	var sum RepeatCount
 	for _, p := range c.parts {
-		first += p.first
-		repeated += p.repeated
+		sum.First += p.first
+		sum.Repeated += p.repeated
+	}
+	return sum
+}
+
+// adopt raises the counts to those of another broker at a time, as if all of its
+// requests had come then.
+func (c *repeats) adopt(count RepeatCount, at, now time.Time) {
+	own := c.sum(now)
+	index := at.UnixNano() / int64(c.budget.Window/windowParts)
+	if index > c.at || c.at-index >= windowParts {
+		return
 	}
-	allowed := budgetShare * (c.budget.Ratio*float64(first) + float64(c.budget.Allowance))
-	return float64(repeated+1) <= allowed
+	p := &c.parts[index%windowParts]
+	p.first += max(count.First-own.First, 0)
+	p.repeated += max(count.Repeated-own.Repeated, 0)
+}
+
+// allow reports whether one more repeat is within the budget.
+func (c *repeats) allow(now time.Time) bool {
+	used := c.sum(now)
+	allowed := budgetShare * (c.budget.Ratio*float64(used.First) + float64(c.budget.Allowance))
+	return float64(used.Repeated+1) <= allowed
 }
