An owner that keeps its keys at a new fence releases nothing

Change: a move to the present owner adds nobody to those who have to release the keys. The process at its address is either the owner, which holds a lower fence itself, or another one, and then the owner has ended.

Test: TestOwnerThatKeepsItsKeysReleasesNothing.

--- a/internal/version/keyspace/apply.go
+++ b/internal/version/keyspace/apply.go
@@ -35,7 +35,9 @@
 		}
 		part := s
 		part.First, part.Last = max(s.First, m.First), min(s.Last, m.Last)
-		part.From = withLife(s.From, s.Owner)
+		if s.Owner != m.To {
+			part.From = withLife(s.From, s.Owner)
+		}
 		part.Owner, part.Fence, part.Ready = m.To, fence, false
 		result = append(result, part)
 		placed = true
--- a/internal/version/keyspace/plan_test.go
+++ b/internal/version/keyspace/plan_test.go
@@ -340,3 +340,22 @@
 		}
 	})
 }
+
+// TestOwnerThatKeepsItsKeysReleasesNothing: a slice that its owner gets anew is not
+// taken from anybody; former owners that still have to release it remain.
+func TestOwnerThatKeepsItsKeysReleasesNothing(t *testing.T) {
+	owner, former := fleet.Life{ID: "a", Born: 1}, fleet.Life{ID: "b", Born: 1}
+	list := []fleet.Slice{
+		{First: 0, Last: 9, Owner: owner, Fence: 3, Ready: true},
+		{First: 10, Last: fleet.Keys - 1, Owner: owner, Fence: 4, From: []fleet.Life{former}},
+	}
+	fence := uint64(4)
+	again := keyspace.Apply(list, []keyspace.Move{{First: 0, Last: 9, To: owner}, {First: 10, Last: fleet.Keys - 1, To: owner}},
+		func() uint64 { fence++; return fence })
+	assert.DeepEqual(t, again, []fleet.Slice{
+		{First: 0, Last: 9, Owner: owner, Fence: 5},
+		{First: 10, Last: fleet.Keys - 1, Owner: owner, Fence: 6, From: []fleet.Life{former}},
+	})
+	taken := keyspace.Apply(again, []keyspace.Move{{First: 0, Last: 9, To: former}}, func() uint64 { fence++; return fence })
+	assert.DeepEqual(t, taken[0].From, []fleet.Life{owner})
+}
