Read a body ahead while its request waits, so that a caller that leaves is noticed

While a request with a body waits for its permit nobody reads the connection, and what is not read does not show its end.

Ruled out: late scheduling alone (the process logs every 0.1 s in that time).

Change: the part of a body that is kept for further attempts (128 kB) is read ahead until the first attempt begins; once it is whole, the next head is awaited, which shows a caller that leaves. A body that its caller holds back until it is asked for is not. The target also holds its slot no longer than the body takes from here.

Tests: TestLeavingWithABodyIsNoticed (fails before for bodies that have come, whole or in part), TestBodyReadAheadArrivesWhole, TestRefusedUploadKeepsItsConnection.

--- a/internal/connection/caller/request.go
+++ b/internal/connection/caller/request.go
@@ -52,6 +52,10 @@
 	mu    sync.Mutex
 	ended bool
 	err   error
+
+	// readingMu guards reading, which is set during a read from the connection.
+	readingMu sync.Mutex
+	reading   bool
 }
 
 // wrapBody returns the body of a request; done is closed once it has been read
@@ -75,9 +79,9 @@
 			return 0, err
 		}
 	}
-	_ = b.conn.socket.SetReadDeadline(time.Now().Add(bodyTimeout))
+	b.setReading(true, bodyTimeout)
 	n, err := b.source.Read(p)
-	_ = b.conn.socket.SetReadDeadline(time.Time{})
+	b.setReading(false, 0)
 	if err != nil {
 		b.err = err
 		b.ended = err == io.EOF
@@ -90,6 +94,35 @@
 	return n, err
 }
 
+// setReading notes that a read begins or ends, and sets its deadline.
+func (b *callerBody) setReading(reading bool, within time.Duration) {
+	b.readingMu.Lock()
+	defer b.readingMu.Unlock()
+	b.reading = reading
+	if reading {
+		_ = b.conn.socket.SetReadDeadline(time.Now().Add(within))
+	} else {
+		_ = b.conn.socket.SetReadDeadline(time.Time{})
+	}
+}
+
+// endRead lets a read that is under way end soon. Without one, the deadline is
+// that of the next request.
+func (b *callerBody) endRead() {
+	b.readingMu.Lock()
+	defer b.readingMu.Unlock()
+	if b.reading {
+		_ = b.conn.socket.SetReadDeadline(time.Now().Add(lingerTime))
+	}
+}
+
+// Awaited reports whether the caller waits to be asked for the body.
+func (b *callerBody) Awaited() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.expects
+}
+
 // Close implements io.Closer; the connection goes on.
 func (b *callerBody) Close() error { return nil }
 
@@ -98,6 +131,7 @@
 // finish is called after the answer: what is left of the body is read past, or
 // the connection is closed if that is too much.
 func (b *callerBody) finish() {
+	b.endRead()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.err == nil && !b.expects {
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -28,9 +29,14 @@
 
 // fixture is a handler in front of some targets, with permits given in turn.
 type fixture struct {
-	address string
-	targets []*fencetarget.Target
-	view    *fleet.View
+	address  string
+	inFlight func() int
+	targets  []*fencetarget.Target
+	view     *fleet.View
+
+	// waiting, if set, gets a signal from each request that waits for its permit
+	// until its caller leaves.
+	waiting chan struct{}
 
 	mu      sync.Mutex
 	next    int
@@ -39,7 +45,12 @@
 }
 
 // Acquire implements forward.Permits: targets in turn, without those excluded.
-func (f *fixture) Acquire(_ context.Context, r admission.Request) (permits.Permit, error) {
+func (f *fixture) Acquire(ctx context.Context, r admission.Request) (permits.Permit, error) {
+	if f.waiting != nil {
+		f.waiting <- struct{}{}
+		<-ctx.Done()
+		return permits.Permit{}, ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.refuse != "" {
@@ -90,6 +101,7 @@
 		}),
 		Leaving: func() bool { return false }, Logger: zerolog.Nop(),
 	})
+	f.inFlight = handler.InFlight
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &caller.Server{Handler: handler, Limits: func() caller.Limits {
@@ -288,3 +300,69 @@
 	assert.NilError(t, answer.err)
 	assert.Equal(t, answer.body, string(content))
 }
+
+// TestLeavingWithABodyIsNoticed: a caller that leaves while its request with a body
+// waits for a permit is noticed at once, not when the body is wanted; also one that
+// has sent only a part of it.
+func TestLeavingWithABodyIsNoticed(t *testing.T) {
+	for name, sent := range map[string]int{"all": 40_000, "a part": 10_000, "no body": 0} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, "")
+			f.waiting = make(chan struct{}, 1)
+			for i := range f.view.Config.Routes {
+				f.view.Config.Routes[i].Timeout = 10 * time.Second
+			}
+			connection, err := net.Dial("tcp", f.address)
+			assert.NilError(t, err)
+			_, err = fmt.Fprintf(connection, "POST /upload/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nContent-Length: 40000\r\n\r\n%s", strings.Repeat("x", sent))
+			assert.NilError(t, err)
+			<-f.waiting
+			assert.NilError(t, connection.Close())
+			left := time.Now()
+			for f.inFlight() > 0 && time.Since(left) < 5*time.Second {
+				time.Sleep(time.Millisecond)
+			}
+			assert.Assert(t, time.Since(left) < 500*time.Millisecond, "noticed after %v", time.Since(left))
+			assert.Equal(t, len(f.runs()), 0)
+		})
+	}
+}
+
+// TestBodyReadAheadArrivesWhole, at the first target and at the next, below and
+// above the size that is kept.
+func TestBodyReadAheadArrivesWhole(t *testing.T) {
+	f := start(t, "refuse", "")
+	for _, size := range []int{1, 5000, 128 << 10, 300_000} {
+		id := fmt.Sprint("a", size)
+		body := strings.Repeat(id, size/len(id)+1)[:size]
+		answer := f.send(t, "POST", "/once/", id, body)
+		if size <= 128<<10 {
+			assert.Equal(t, answer.status, http.StatusOK, "%d bytes", size)
+		}
+		for _, run := range f.runs() {
+			if run.Body != "" && strings.HasPrefix(run.Body, id+id) {
+				assert.Equal(t, run.Body, body)
+			}
+		}
+	}
+}
+
+// TestRefusedUploadKeepsItsConnection: the read ahead of a body that has come whole
+// does not end the connection of a caller whose request is refused.
+func TestRefusedUploadKeepsItsConnection(t *testing.T) {
+	f := start(t, "")
+	f.refuse = admission.WouldBeLate
+	connection, err := net.Dial("tcp", f.address)
+	assert.NilError(t, err)
+	defer connection.Close()
+	answers := bufio.NewReader(connection)
+	for range 20 {
+		_, err = fmt.Fprintf(connection, "POST /upload/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nContent-Length: 20000\r\n\r\n%s", strings.Repeat("x", 20_000))
+		assert.NilError(t, err)
+		answer, err := http.ReadResponse(answers, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, answer.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, answer.StatusCode, http.StatusServiceUnavailable)
+	}
+}
