Repeat load reports that were ahead of the controller's record

A dispatcher may read a record before the controller that wrote it knows that it was written. Its report of the new epoch was dropped and acknowledged all the same, and what does not change is repeated after 30 s only: for so long the controller held what the former dispatcher had said last.

Change: the acknowledgement says so, and the next report is a full one.

Tests: TestAReportAheadOfTheRecordIsNotTakenIn, TestAReportThatCameTooEarlyIsRepeated.

--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -125,10 +125,11 @@
 	if report == nil {
 		return nil, false
 	}
-	holder := ""
+	holder, ahead := "", false
 	if cell := c.cells[report.Cell]; cell != nil {
 		if cell.lease.held {
 			cell.merge(assignment.Holder{VM: from.VM, Incarnation: from.Incarnation}, report)
+			ahead = cell.isBehind(report)
 		} else {
 			cell.lease.challenge(from.VM, c.now())
 			events.ReportRejected.Log(&c.config.Logger).Str("cell", report.Cell).Str("from", from.VM).Send()
@@ -136,7 +137,7 @@
 		holder = cell.holder(c.snapshot())
 	}
 	return &peerv1.Control{ReplyTo: message.Call, Kind: &peerv1.Control_LoadReportAck{
-		LoadReportAck: &peerv1.LoadReportAck{LeaseHolder: holder}}}, true
+		LoadReportAck: &peerv1.LoadReportAck{LeaseHolder: holder, Ahead: ahead}}}, true
 }
 
 // tick looks after the leases and plans the cells that are due.
--- a/internal/process/controller/reports.go
+++ b/internal/process/controller/reports.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// isBehind reports whether a report is of rights that are not in the record here:
+// its sender may read a record before the write of it has returned.
+func (c *cell) isBehind(report *peerv1.LoadReport) bool {
+	for _, load := range report.Targets {
+		if c.record == nil {
+			return true
+		}
+		if rights := c.record.RightsOf(load.Target); rights == nil || load.Epoch > rights.Epoch {
+			return true
+		}
+	}
+	return false
+}
+
 // mergeAccepted notes accepted releases. It reports whether one followed a loss:
 // its new owner has no next owner yet, so the record must not wait. Planned
 // moves are gathered until the next round.
--- a/internal/process/controller/reports_test.go
+++ b/internal/process/controller/reports_test.go
@@ -83,3 +83,18 @@
 	assert.Assert(t, !l.suspected(quiet, now.Add(2*time.Second)))
 	assert.Assert(t, l.suspected(quiet, now.Add(heardFresh+time.Second)), "it has not reported itself either")
 }
+
+// TestAReportAheadOfTheRecordIsNotTakenIn: a dispatcher reads a record before its
+// writer knows that it was written.
+func TestAReportAheadOfTheRecordIsNotTakenIn(t *testing.T) {
+	c, _ := reportedCell()
+	early := &peerv1.LoadReport{Targets: []*peerv1.TargetLoad{loadOf(1, 1)}}
+	assert.Assert(t, !c.isBehind(early))
+	early.Targets[0].Epoch = 2
+	assert.Assert(t, c.isBehind(early))
+	assert.Assert(t, !c.mergeTarget(assignment.Holder{VM: "d"}, early.Targets[0]))
+	c.record.Targets[0].Epoch = 3
+	assert.Assert(t, !c.isBehind(early), "of a former dispatcher")
+	c.record = nil
+	assert.Assert(t, c.isBehind(early))
+}
--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -180,12 +180,12 @@
 		report.Arrived = progress.Arrived
 	}
 	c.busy, c.sentAt, c.progress = true, now, progress
-	r.send(c, to, report, targets, now)
+	r.send(c, to, report, now)
 }
 
 // send delivers a report and learns from the acknowledgement who controls the
 // cell.
-func (r *Reporter) send(c *cell, to string, report *peerv1.LoadReport, targets []*peerv1.TargetLoad, now time.Time) {
+func (r *Reporter) send(c *cell, to string, report *peerv1.LoadReport, now time.Time) {
 	parent := r.ctx
 	message := &peerv1.Control{Kind: &peerv1.Control_LoadReport{LoadReport: report}}
 	go func() {
@@ -198,7 +198,7 @@
 				c.giveUp()
 				return
 			}
-			c.acknowledged(to, reply.GetLoadReportAck().LeaseHolder, report, targets, now)
+			c.acknowledged(to, reply.GetLoadReportAck(), report, now)
 		})
 	}()
 }
@@ -226,12 +226,17 @@
 }
 
 // acknowledged follows an acknowledgement.
-func (c *cell) acknowledged(to, holder string, report *peerv1.LoadReport, targets []*peerv1.TargetLoad, now time.Time) {
-	switch holder {
+func (c *cell) acknowledged(to string, ack *peerv1.LoadReportAck, report *peerv1.LoadReport, now time.Time) {
+	switch ack.LeaseHolder {
 	case "":
 		c.giveUp()
 	case to:
 		c.holder = to
+		if ack.Ahead {
+			// What was not taken in would not be sent again as long as it does not change.
+			c.fullAt = time.Time{}
+			return
+		}
 		if report.Full {
 			c.fullAt = now
 			c.sent = map[string]*peerv1.TargetLoad{}
@@ -241,7 +246,7 @@
 		}
 	default:
 		c.giveUp()
-		c.holder = holder
+		c.holder = ack.LeaseHolder
 		c.sentAt = time.Time{} // The holder gets the report at once.
 	}
 }
--- a/internal/process/reporter/reporter_test.go
+++ b/internal/process/reporter/reporter_test.go
@@ -31,6 +31,8 @@
 	holder string
 	down   map[string]bool
 	got    []delivery
+	// ahead is what the receiver of a report says of it.
+	ahead bool
 }
 
 // delivery is a report with the VM that it reached.
@@ -80,7 +82,7 @@
 		return nil, fmt.Errorf("%s is down", vm)
 	}
 	f.got = append(f.got, delivery{vm, message.GetLoadReport()})
-	return &peerv1.Control{Kind: &peerv1.Control_LoadReportAck{LoadReportAck: &peerv1.LoadReportAck{LeaseHolder: f.holder}}}, nil
+	return &peerv1.Control{Kind: &peerv1.Control_LoadReportAck{LoadReportAck: &peerv1.LoadReportAck{LeaseHolder: f.holder, Ahead: f.ahead}}}, nil
 }
 
 // tick lets time pass and returns what reached whom.
@@ -137,6 +139,19 @@
 	assert.Equal(t, len(f.tick(changeInterval)), 0)
 }
 
+// TestAReportThatCameTooEarlyIsRepeated: the holder did not know the epoch yet, and
+// nothing has changed since.
+func TestAReportThatCameTooEarlyIsRepeated(t *testing.T) {
+	f := newFixture(t)
+	f.ahead = true
+	assert.Equal(t, len(f.tick(changeInterval)), 1)
+	again := f.tick(changeInterval)
+	assert.Assert(t, len(again) == 1 && again[0].report.Full && len(again[0].report.Targets) == 1, "%v", again)
+	f.ahead = false
+	assert.Equal(t, len(f.tick(changeInterval)), 1)
+	assert.Equal(t, len(f.tick(changeInterval)), 0, "what was taken in is not repeated")
+}
+
 func TestTheHolderIsFoundAndFollowed(t *testing.T) {
 	f := newFixture(t)
 	candidates := controller.Candidates("s/0", "r", f.snapshot)
