Give all slices anew in one pass

The new leader gives all slices anew, and each move went through the whole list: 18 ms of processor time for 600 slices on this machine, 0.8 s for 3,000, on the goroutine that also sends the configuration.

Change: a move of a whole slice changes it in place; before the declarations have settled, what has to be given anew is looked for once a tick.

--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -67,6 +67,7 @@
 func (c *Coordinator) planMoves(now time.Time) {
 	l := c.lead
 	settled := now.Sub(l.since) > settle
+	l.planAt = now.Add(tickEvery)
 	if settled {
 		l.planAt = now.Add(planEvery)
 	}
--- a/internal/version/keyspace/apply.go
+++ b/internal/version/keyspace/apply.go
@@ -10,16 +10,37 @@
 // Apply returns the slices after moves, each moved part at a fence of its own.
 // nextFence returns a fence above every other.
 func Apply(current []fleet.Slice, moves []Move, nextFence func() uint64) []fleet.Slice {
+	current = slices.Clone(current)
 	for _, m := range moves {
-		if m.Joins {
+		switch s := exactly(current, m); {
+		case m.Joins:
 			current = joinSlices(current, m, nextFence())
-		} else {
+		case s != nil:
+			give(s, m.To, nextFence())
+		default:
 			current = applyOne(current, m, nextFence())
 		}
 	}
 	return current
 }
 
+// exactly returns the slice that a move is about as a whole, or nil.
+func exactly(current []fleet.Slice, m Move) *fleet.Slice {
+	if s := fleet.Find(current, m.First); s != nil && s.First == m.First && s.Last == m.Last {
+		return s
+	}
+	return nil
+}
+
+// give makes a target the owner of a slice. The former owner has to release it
+// first, unless it is the same.
+func give(s *fleet.Slice, to fleet.Life, fence uint64) {
+	if s.Owner != to {
+		s.From = withLife(s.From, s.Owner)
+	}
+	s.Owner, s.Fence, s.Ready = to, fence, false
+}
+
 func applyOne(current []fleet.Slice, m Move, fence uint64) []fleet.Slice {
 	var result []fleet.Slice
 	placed := false
@@ -35,10 +56,7 @@
 		}
 		part := s
 		part.First, part.Last = max(s.First, m.First), min(s.Last, m.Last)
-		if s.Owner != m.To {
-			part.From = withLife(s.From, s.Owner)
-		}
-		part.Owner, part.Fence, part.Ready = m.To, fence, false
+		give(&part, m.To, fence)
 		result = append(result, part)
 		placed = true
 		if s.Last > m.Last {
--- a/internal/version/keyspace/plan_test.go
+++ b/internal/version/keyspace/plan_test.go
@@ -359,3 +359,31 @@
 	taken := keyspace.Apply(again, []keyspace.Move{{First: 0, Last: 9, To: former}}, func() uint64 { fence++; return fence })
 	assert.DeepEqual(t, taken[0].From, []fleet.Life{owner})
 }
+
+// TestGivingEverythingAnewIsQuick: a leader that vouches for nobody gives all slices
+// anew at once. The time grows with the slices, not with their square; the bound is
+// on the ratio, the best of five.
+func TestGivingEverythingAnewIsQuick(t *testing.T) {
+	took := func(count int) time.Duration {
+		var list []fleet.Slice
+		var moves []keyspace.Move
+		width := fleet.Keys / count
+		for i := range count {
+			owner := fleet.Life{ID: fmt.Sprint("t", i), Born: 1}
+			list = append(list, fleet.Slice{First: uint16(i * width), Last: uint16((i+1)*width - 1), Owner: owner, Fence: uint64(i)})
+			moves = append(moves, keyspace.Move{First: uint16(i * width), Last: uint16((i+1)*width - 1), To: owner})
+		}
+		best := time.Hour
+		for range 5 {
+			fence := uint64(count)
+			began := time.Now()
+			again := keyspace.Apply(list, moves, func() uint64 { fence++; return fence })
+			best = min(best, time.Since(began))
+			assert.Equal(t, again[count-1].Fence, uint64(2*count))
+			assert.Equal(t, list[count-1].Fence, uint64(count-1), "the list before is unchanged")
+		}
+		return best
+	}
+	few, many := took(300), took(3000)
+	assert.Assert(t, many < 40*few, "%v for 3,000 slices, %v for 300", many, few)
+}
