--- a/internal/connection/caller/request.go
+++ b/internal/connection/caller/request.go
@@ -79,9 +79,9 @@
 			return 0, err
 		}
 	}
-	b.setReading(true, bodyTimeout)
+	b.readUntil(time.Now().Add(bodyTimeout))
 	n, err := b.source.Read(p)
-	b.setReading(false, 0)
+	b.readUntil(time.Time{})
 	if err != nil {
 		b.err = err
 		b.ended = err == io.EOF
@@ -94,16 +94,12 @@
 	return n, err
 }
 
-// setReading notes that a read begins or ends, and sets its deadline.
-func (b *callerBody) setReading(reading bool, within time.Duration) {
+// readUntil notes that a read begins, with its deadline, or with none that it has ended.
+func (b *callerBody) readUntil(deadline time.Time) {
 	b.readingMu.Lock()
 	defer b.readingMu.Unlock()
-	b.reading = reading
-	if reading {
-		_ = b.conn.socket.SetReadDeadline(time.Now().Add(within))
-	} else {
-		_ = b.conn.socket.SetReadDeadline(time.Time{})
-	}
+	b.reading = !deadline.IsZero()
+	_ = b.conn.socket.SetReadDeadline(deadline)
 }
 
 // endRead lets a read that is under way end soon. Without one, the deadline is
--- a/internal/process/controller/reports.go
+++ b/internal/process/controller/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -92,15 +93,13 @@
 // isBehind reports whether a report is of rights that are not in the record here:
 // its sender may read a record before the write of it has returned.
 func (c *cell) isBehind(report *peerv1.LoadReport) bool {
-	for _, load := range report.Targets {
-		if c.record == nil {
-			return true
-		}
-		if rights := c.record.RightsOf(load.Target); rights == nil || load.Epoch > rights.Epoch {
-			return true
-		}
+	if c.record == nil {
+		return len(report.Targets) > 0
 	}
-	return false
+	return slices.ContainsFunc(report.Targets, func(load *peerv1.TargetLoad) bool {
+		rights := c.record.RightsOf(load.Target)
+		return rights == nil || load.Epoch > rights.Epoch
+	})
 }
 
 // mergeAccepted notes accepted releases. It reports whether one followed a loss:
--- a/internal/process/coordinator/listpart.go
+++ b/internal/process/coordinator/listpart.go
@@ -97,6 +97,15 @@
 	return &peerv1.Part{Body: s2.EncodeBetter(nil, body), Compressed: true}
 }
 
+// baseOf returns what a part is to be applied to: nothing if it is whole, otherwise
+// what this VM has.
+func baseOf[T any](part *peerv1.Part, has T) (base T) {
+	if part.Base != 0 {
+		base = has
+	}
+	return base
+}
+
 // bodyOf returns the body of a part that another VM has sent.
 func bodyOf(part *peerv1.Part) ([]byte, error) {
 	if !part.Compressed {
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -126,28 +126,16 @@
 	}
 	targets, sliceList, members := &peerv1.TargetList{}, &peerv1.SliceList{}, &peerv1.MemberList{}
 	if c.takeList(state.Targets, c.have.Targets, targets) {
-		former := view.Targets
-		if state.Targets.Base == 0 {
-			former = nil
-		}
 		c.have.Targets = state.Versions.Targets
-		view.Targets, view.Evacuated = applyTargets(targets, former, now)
+		view.Targets, view.Evacuated = applyTargets(targets, baseOf(state.Targets, view.Targets), now)
 	}
 	if c.takeList(state.Slices, c.have.Slices, sliceList) {
-		former := view.Slices
-		if state.Slices.Base == 0 {
-			former = nil
-		}
 		c.have.Slices = state.Versions.Slices
-		view.Slices = applySlices(sliceList, former)
+		view.Slices = applySlices(sliceList, baseOf[sliceSet](state.Slices, view.Slices))
 	}
 	if c.takeList(state.Members, c.have.Members, members) {
-		former := memberSet{view.Members, view.Brokers}
-		if state.Members.Base == 0 {
-			former = memberSet{}
-		}
 		c.have.Members = state.Versions.Members
-		after := applyMembers(members, former)
+		after := applyMembers(members, baseOf(state.Members, memberSet{view.Members, view.Brokers}))
 		view.Members, view.Brokers = after.members, after.brokers
 	}
 }
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -67,24 +67,17 @@
 func slicesSince(former, present sliceSet, _ time.Time) proto.Message {
 	list := &peerv1.SliceList{}
 	for service, owned := range present {
-		if changed := serviceSince(former[service], owned); changed != nil {
-			changed.Service = service
-			list.Services = append(list.Services, changed)
-		}
+		addService(list, service, former[service], owned)
 	}
-	for service, owned := range former {
-		if _, kept := present[service]; !kept && len(owned) > 0 {
-			gone := serviceSince(owned, nil)
-			gone.Service = service
-			list.Services = append(list.Services, gone)
-		}
+	for _, service := range lacking(former, present) {
+		addService(list, service, former[service], nil)
 	}
 	return list
 }
 
-// serviceSince writes what is new in a sorted list; nil if nothing is.
-func serviceSince(former, present []fleet.Slice) *peerv1.ServiceSlices {
-	difference := &peerv1.ServiceSlices{}
+// addService adds what is new in the sorted slices of a service, if anything is.
+func addService(list *peerv1.SliceList, service string, former, present []fleet.Slice) {
+	difference := &peerv1.ServiceSlices{Service: service}
 	for i := range present {
 		s := &present[i]
 		for len(former) > 0 && former[0].First < s.First {
@@ -105,10 +98,9 @@
 	for i := range former {
 		difference.Removed = append(difference.Removed, uint32(former[i].First))
 	}
-	if len(difference.Slices) == 0 && len(difference.Removed) == 0 {
-		return nil
+	if len(difference.Slices) > 0 || len(difference.Removed) > 0 {
+		list.Services = append(list.Services, difference)
 	}
-	return difference
 }
 
 // sameSlice compares what other VMs are told of a slice.
--- a/internal/request/forward/body.go
+++ b/internal/request/forward/body.go
@@ -26,13 +26,13 @@
 	// reading is set while one goroutine reads from the caller; read is signalled
 	// when it has.
 	reading bool
-	read    *sync.Cond
+	read    sync.Cond
 }
 
 func newReplayBody(r *http.Request, limit int) *replayBody {
 	empty := r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0
 	b := &replayBody{source: r.Body, limit: limit, empty: empty}
-	b.read = sync.NewCond(&b.mu)
+	b.read.L = &b.mu
 	return b
 }
 
@@ -43,7 +43,7 @@
 // Only a connection that is read shows that its caller has left, and the target
 // does not hold a slot for as long as the caller takes to send.
 func (b *replayBody) readAhead() {
-	if body, ok := b.source.(awaited); b.empty || ok && body.Awaited() {
+	if body, ok := b.source.(awaited); ok && body.Awaited() {
 		return
 	}
 	buffer := make([]byte, readAheadBytes)
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -52,7 +52,9 @@
 // run sends the request until it is answered or given up.
 func (x *exchange) run() {
 	x.body = newReplayBody(x.r, keptBody)
-	go x.body.readAhead()
+	if x.body.streamed() {
+		go x.body.readAhead()
+	}
 	idempotent := x.route.Kind == fleet.Idempotent
 	repeat := false
 	for tries := 0; ; tries++ {
