--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -241,6 +241,7 @@
 	case t.release:
 		k.failed(t, now)
 	default:
+		c.noteSilence(t, err, began, now.Sub(began))
 		changed = k.granted(t, err == nil, now)
 	}
 	c.logOrder(t, err, now.Sub(began), changed)
@@ -252,6 +253,19 @@
 	}
 }
 
+// noteSilence logs the first answer to a grant of a fence that has been in force
+// without an answer for longer than a lost renewal explains.
+func (c *Coordinator) noteSilence(t task, err error, began time.Time, took time.Duration) {
+	until, sent := c.lead.keeper.vouchedUntil[t.fence]
+	silent := began.Add(took).Sub(until.Add(-c.lead.keeper.hold))
+	if err != nil || !sent || silent < renewedWithin {
+		return
+	}
+	events.RenewalResumed.Log(c.config.Logger).Str("service", t.service).Str("target", t.target.ID).Int64("born", t.target.Born).
+		Int("first", int(t.slice.First)).Int("last", int(t.slice.Last)).Uint64("fence", t.fence).
+		Dur("silent", silent).Dur("took", took).Send()
+}
+
 // slicesChangedSoon publishes the owners of keys and goes on with the orders once
 // the results are dealt with that wait already: a plan has many moves, and each
 // view costs the broker a look at everything that waits.
