--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -235,6 +235,35 @@
 	})
 }
 
+// TestNextProcessAtAnAddressGetsNoFormerFence: a target falls silent, and the next process at its address starts within a grant's length.
+func TestNextProcessAtAnAddressGetsNoFormerFence(t *testing.T) {
+	for _, next := range []string{"t2", "t2-next"} {
+		for _, dark := range []time.Duration{100 * time.Millisecond, 900 * time.Millisecond, 2200 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s after %s", next, dark), func(t *testing.T) {
+				run(t, seed.Value, 4, 5, func(w *world) {
+					w.set(func() { w.fencesOfAll = true })
+					w.servedWithin(2 * time.Second)
+					time.Sleep(2 * time.Second)
+					w.fallSilent("t2")
+					time.Sleep(dark)
+					w.register("t2", next)
+					w.servedWithin(8 * time.Second)
+					time.Sleep(2 * time.Second)
+				})
+			})
+		}
+	}
+}
+
+// register starts a target at a place and registers it once it has run for a while.
+func (w *world) register(place, id string) {
+	next := w.startAt(place, id)
+	time.AfterFunc(1500*time.Millisecond, func() { w.put("servers/"+id, next.Target) })
+	if id != place {
+		time.AfterFunc(2*time.Second, func() { w.remove("servers/" + place) })
+	}
+}
+
 // TestAddressIsTakenOverBeforeTheLeadChanges: the leader does not reach a target,
 // which ends, and another starts at its address before its entry has lapsed. The
 // next leader, whose start the store delays, reaches the address, and must not
--- a/internal/process/coordinator/target_test.go
+++ b/internal/process/coordinator/target_test.go
@@ -16,7 +16,8 @@
 	fleet.Target
 	ended   bool
 	endedAt time.Time
-	// silent targets neither take nor answer orders.
+	// silent targets neither take nor answer orders. Once they have ended, orders
+	// that wait for them reach the next target at the address.
 	silent bool
 	keys   [sampled]heldKey
 }
@@ -120,6 +121,7 @@
 	time.Sleep(2 * time.Millisecond)
 	w := n.world
 	id := address[:len(address)-2]
+	w.awaitSuccessor(ctx, address)
 	w.mu.Lock()
 	target := w.targetAt(address)
 	ended, silent := target.ended || w.refused[n.name+">"+id], target.silent || w.cut[n.name+">"+id]
@@ -142,6 +144,28 @@
 	return apply(target, time.Now())
 }
 
+// awaitSuccessor waits while the target at an address has ended without a word: an
+// opening packet that nobody answers is sent again.
+func (w *world) awaitSuccessor(ctx context.Context, address string) {
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		target := w.targetAt(address)
+		w.mu.Unlock()
+		if !target.ended || !target.silent {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// fallSilent ends a target whose address refuses no connections.
+func (w *world) fallSilent(id string) {
+	w.set(func() {
+		w.targets[id].end()
+		w.targets[id].silent = true
+	})
+}
+
 // grant gives a target keys and checks that nobody else has them; late orders may
 // come at fences that are used up.
 func (w *world) grant(target *fakeTarget, slice fleet.Slice, until time.Time, late bool) error {
--- a/internal/process/events/ownership.go
+++ b/internal/process/events/ownership.go
@@ -38,5 +38,5 @@
 	GrantsRanOut     = register(4113, "grants-ran-out", zerolog.InfoLevel, "A former owner did not answer; its grants have run out, so the keys go to the next owner.")
 	TargetEndChecked = register(4114, "target-end-checked", zerolog.InfoLevel, "A target's port refuses connections; VMs near it and elsewhere were asked whether it has ended.")
 	TargetDoubted    = register(4115, "target-doubted", zerolog.WarnLevel, "A target could not be renewed for as long as a grant lasts, or refused connections, or a new leader does not know that it was renewed: another process may be at its address. Its slices are granted anew at higher fences.")
-	RenewalResumed  = register(4116, "renewal-resumed", zerolog.WarnLevel, "A target has answered a renewal after a time without answers. Unless its process is known, it may be another one at its address.")
+	RenewalResumed   = register(4116, "renewal-resumed", zerolog.WarnLevel, "A target has answered a renewal after a time without answers. Unless its process is known, it may be another one at its address.")
 )
