Count forgotten VMs in the majority that a leader without the store acts on

A key had two owners: a leader that was cut off from the store together with a minority of the VMs forgot the others after 4 s, took the rest for a majority and renewed its grants again, while the leader of the others waited for grants to run out and gave the keys away.

The majority is now counted among the VMs at the time at which the store last confirmed the leader.

TestLeaderCutOffWithAMinorityStopsRenewing failed before (keys granted to t3 while t2 held them) and passes.

--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -285,6 +285,36 @@
 	})
 }
 
+// TestLeaderCutOffWithAMinorityStopsRenewing: it forgets the others and must not take those that are left for all.
+func TestLeaderCutOffWithAMinorityStopsRenewing(t *testing.T) {
+	run(t, seed.Value, 4, 5, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		time.Sleep(2 * time.Second)
+		leader, _ := w.leader()
+		inside, outside := []string{leader}, []string{}
+		for _, name := range everybody(4, 0) {
+			switch {
+			case name == leader:
+			case len(inside) < 2:
+				inside = append(inside, name)
+			default:
+				outside = append(outside, name)
+			}
+		}
+		for _, name := range inside {
+			w.cutFor(20*time.Second, name+">store")
+			for _, other := range outside {
+				w.cutFor(20*time.Second, name+">"+other)
+				w.cutFor(20*time.Second, other+">"+name)
+				w.cutFor(20*time.Second, other+">t2")
+			}
+		}
+		time.Sleep(5 * time.Second)
+		w.leaveTarget("t2")
+		time.Sleep(13 * time.Second)
+	})
+}
+
 // TestBudgetOutlivesItsLeader: a new leader knows how many repeats the former one
 // had let run, so that a budget is not spent twice.
 func TestBudgetOutlivesItsLeader(t *testing.T) {
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -49,7 +49,9 @@
 
 	// confirmedAt is the uptime at which the store last showed that this VM leads.
 	confirmedAt time.Duration
-	touchAt     time.Time
+	// confirmedMembers is the number of other VMs at that time.
+	confirmedMembers int
+	touchAt          time.Time
 	// tickedAt and stalledAt are the uptimes of the last tick and of the last
 	// tick that came much too late.
 	tickedAt, stalledAt time.Duration
@@ -124,6 +126,7 @@
 			l.members[name] = &member{Member: m, joinedAt: now, heardAt: now}
 		}
 	}
+	l.confirmedMembers = len(l.members)
 	return l
 }
 
--- a/internal/process/coordinator/record.go
+++ b/internal/process/coordinator/record.go
@@ -45,14 +45,18 @@
 			following++
 		}
 	}
-	return len(l.members) > 0 && 2*following > len(l.members)+1
+	return l.others() > 0 && 2*following > l.others()+1
 }
 
+// others is the number of VMs that a majority is of, besides this one. Those that
+// were forgotten since the store last confirmed this leader may follow another.
+func (l *leadership) others() int { return max(len(l.members), l.confirmedMembers) }
+
 // supersede notes when no former leader can act any more: most VMs follow this
 // one, or there are no others.
 func (c *Coordinator) supersede(now time.Time) {
 	l := c.lead
-	if l.superseded || !c.majority() && len(l.members) > 0 {
+	if l.superseded || !c.majority() && l.others() > 0 {
 		return
 	}
 	l.superseded = true
@@ -107,6 +111,7 @@
 			}
 			if err == nil {
 				l.record, l.revision, l.confirmedAt = record, version, began
+				l.confirmedMembers = len(l.members)
 				l.keeper.fences.last = record.LastFence
 				l.keeper.forgetFormer()
 				l.touchAt = time.Now().Add(touchEvery)
