--- /dev/null
+++ b/internal/connection/target/cut_test.go
@@ -0,0 +1,47 @@
+package target_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
+)
+
+// TestCutAnswerNeverLooksWhole, at whichever byte the target closes. Only the body
+// of an answer without a length may end anywhere.
+func TestCutAnswerNeverLooksWhole(t *testing.T) {
+	for name, c := range map[string]struct{ text, body string }{
+		"length":       {head("a", "Content-Length: 12", "Keep-Alive: timeout=10\r\n\r\n"), "twelve bytes"},
+		"length first": {"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n" + target.HeaderRequestID + ": a\r\n\r\n", "twelve bytes"},
+		"no content":   {strings.Replace(head("a", "\r\n"), "200 OK", "204 No Content", 1), ""},
+		"chunked":      {head("a", "Transfer-Encoding: chunked\r\n\r\n"), "6\r\ntwelve\r\n6;e=f\r\n bytes\r\n0\r\nT: u\r\n\r\n"},
+		"unframed":     {head("a", "Keep-Alive: timeout=10\r\n\r\n"), ""},
+		"bare newline": {strings.ReplaceAll(head("a", "Content-Length: 12\r\n\r\n"), "\r", ""), "twelve bytes"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := c.text + c.body
+			sent := ""
+			pool := strayPool(t, func(socket *net.TCPConn) {
+				_, _ = readRequest(bufio.NewReader(socket))
+				_, _ = io.WriteString(socket, sent)
+			})
+			for n := range len(text) {
+				sent = text[:n]
+				answer, body, err := exchangeOnce(testContext(t), t, pool, newRequest("a", "", ""))
+				assert.Assert(t, err != nil, "cut after %q: body %q", sent, body)
+				assert.Assert(t, answer == nil || n >= len(c.text), "cut after %q", sent)
+				if answer == nil {
+					handedWithoutAnswer(t, err)
+				}
+			}
+			sent = text
+			_, _, err := exchangeOnce(testContext(t), t, pool, newRequest("a", "", ""))
+			assert.NilError(t, err)
+		})
+	}
+}
--- a/internal/connection/target/idle_test.go
+++ b/internal/connection/target/idle_test.go
@@ -18,23 +18,10 @@
 // limit, only once the next request arrives on it. It returns its address.
 func forgetful(t *testing.T, limit time.Duration) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			socket, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serveForgetful(socket.(*net.TCPConn), limit)
-		}
-	}()
-	return listener.Addr().String()
+	return listenRaw(t, func(socket *net.TCPConn) { serveForgetful(socket, limit) })
 }
 
 func serveForgetful(socket *net.TCPConn, limit time.Duration) {
-	defer socket.Close()
 	reader := bufio.NewReader(socket)
 	var answered time.Time
 	for ; ; answered = time.Now() {
