Bound the head of a target's answer

A target whose bytes come without end in a head kept its exchange until the caller's deadline, and the router kept all of them: neither http.ReadResponse nor textproto has a limit (net/http's client sets one on its own connection). A few such answers at once end the process for want of memory.

Chunk extensions, trailers and stray answers were bounded already.

The reader of a connection now fails after 64 KiB while a head is awaited, informational ones included. That holds for every user of readHead, also the probe of a new connection. The exchange ends as any broken one: the request may have run.

--- a/internal/connection/target/connection.go
+++ b/internal/connection/target/connection.go
@@ -3,17 +3,22 @@
 import (
 	"bufio"
 	"context"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // connection is one HTTP/1.1 connection to a target. It carries one exchange
 // at a time and is closed, never reused, after any irregularity.
 type connection struct {
 	socket *countingSocket
+	source *boundedReader
 	reader *bufio.Reader
 	// incarnation is the target's incarnation as last answered on this
 	// connection. A connection never outlives the process that accepted it, so
@@ -27,6 +32,28 @@
 	onClose   func()
 }
 
+// maxHead bounds the head of an answer with the informational ones before it, in
+// bytes. Common proxies take 8 to 64 KiB.
+const maxHead = 64 << 10
+
+var errLongHead = errors.New("the head of the answer does not end")
+
+// boundedReader fails after a number of bytes.
+type boundedReader struct {
+	source io.Reader
+	left   int64
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errLongHead
+	}
+	n, err := r.source.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	return n, err
+}
+
 // countingSocket counts the bytes that the kernel has accepted for sending. One
 // goroutine at a time writes to it.
 type countingSocket struct {
@@ -63,8 +90,8 @@
 	if err != nil {
 		return nil, err
 	}
-	counting := &countingSocket{Conn: socket}
-	return &connection{socket: counting, reader: bufio.NewReader(socket)}, nil
+	source := &boundedReader{source: socket, left: math.MaxInt64}
+	return &connection{socket: &countingSocket{Conn: socket}, source: source, reader: bufio.NewReader(source)}, nil
 }
 
 // close closes the socket; it may be called from any goroutine, repeatedly.
@@ -114,7 +141,7 @@
 	if err := request.Write(c.socket); err != nil {
 		return err
 	}
-	response, err := http.ReadResponse(c.reader, request)
+	response, err := readHead(c, request)
 	if err != nil {
 		return err
 	}
--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"syscall"
@@ -206,6 +207,8 @@
 
 // readHead reads the head of the final answer, past informational ones.
 func readHead(c *connection, request *http.Request) (*http.Response, error) {
+	c.source.left = maxHead
+	defer func() { c.source.left = math.MaxInt64 }()
 	for {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
--- a/internal/connection/target/hostile_test.go
+++ b/internal/connection/target/hostile_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
@@ -15,6 +18,9 @@
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
 )
 
+// maxAllocated bounds the memory that an answer without end may cost, in bytes.
+const maxAllocated = 8 << 20
+
 // strayForm is the form of targets whose stray answers are read past.
 var strayForm = target.Form{
 	RequestIDHeader: target.HeaderRequestID, Unframed: true, SkipStray: true, DialTimeout: testTimeout, MaxIdle: testTimeout,
@@ -74,3 +80,70 @@
 	var failed *target.ExchangeError
 	assert.Assert(t, errors.As(err, &failed) && failed.Handed, "%v", err)
 }
+
+// TestAnswerWithoutEndEndsTheExchange, soon and in little memory, wherever in a
+// head or in its framing the target goes on for ever.
+func TestAnswerWithoutEndEndsTheExchange(t *testing.T) {
+	line := strings.Repeat("x", 1000)
+	for name, c := range map[string]struct{ begin, again string }{
+		"status line":         {"HTTP/1.1 200 ", line},
+		"garbage":             {"", line},
+		"header name":         {"HTTP/1.1 200 OK\r\n", line},
+		"header value":        {"HTTP/1.1 200 OK\r\nA: ", line},
+		"continuation lines":  {"HTTP/1.1 200 OK\r\nA: b\r\n", " " + line + "\r\n"},
+		"header lines":        {"HTTP/1.1 200 OK\r\n", "A: " + line + "\r\n"},
+		"informational heads": {"", "HTTP/1.1 103 Early Hints\r\nA: " + line + "\r\n\r\n"},
+		"stray answers":       {"", whole("another")},
+		"stray unframed body": {head("another", "\r\n"), line},
+		"chunk extension":     {head("a", "Transfer-Encoding: chunked\r\n\r\n"), "1;" + line},
+		"chunk extensions":    {head("a", "Transfer-Encoding: chunked\r\n\r\n"), "1;" + line + "\r\nx\r\n"},
+		"trailers":            {head("a", "Transfer-Encoding: chunked\r\n\r\n0\r\n"), "A: " + line + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{})
+			pool := strayPool(t, func(socket *net.TCPConn) {
+				defer close(ended)
+				if _, err := readRequest(bufio.NewReader(socket)); err != nil {
+					return
+				}
+				_, err := io.WriteString(socket, c.begin)
+				for again := []byte(strings.Repeat(c.again, 32)); err == nil; {
+					_, err = socket.Write(again)
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, _, err := exchangeOnce(ctx, t, pool, newRequest("a", "", ""))
+			runtime.ReadMemStats(&after)
+			assert.Assert(t, err != nil)
+			allocated := after.TotalAlloc - before.TotalAlloc
+			assert.Check(t, allocated < maxAllocated, "%d bytes", allocated)
+			assert.NilError(t, ctx.Err(), "the exchange lasted until its deadline")
+			assert.Equal(t, pool.Open(), 0)
+			<-ended
+		})
+	}
+}
+
+// TestBytesBeyondTheLengthEndTheConnection even if there is no end of them; the
+// answer stands.
+func TestBytesBeyondTheLengthEndTheConnection(t *testing.T) {
+	ended := make(chan struct{})
+	pool := strayPool(t, func(socket *net.TCPConn) {
+		defer close(ended)
+		id, err := readRequest(bufio.NewReader(socket))
+		for text := whole(id); err == nil; text = strings.Repeat("x", 32<<10) {
+			_, err = io.WriteString(socket, text)
+		}
+	})
+	_, body, err := exchangeOnce(testContext(t), t, pool, newRequest("a", "", ""))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "a")
+	<-ended
+	eventually(t, func() bool {
+		pool.Warm(0)
+		return pool.Open() == 0
+	}, "the connection is kept")
+}
