Bound the body of a stray answer

A stray answer is read past so that the own one behind it is not lost. One without end was read until the caller's deadline: the connection and the target's slot were held, and an idempotent request had no time left for another target.

The two cases of TestAnswerWithoutEndEndsTheExchange (chunked, and with a huge length) failed before: they ended with the deadline. A stray body of more than 1 MiB now ends the exchange like any answer to another request.

--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -60,8 +60,14 @@
 // Unwrap returns the cause.
 func (e *ExchangeError) Unwrap() error { return e.Cause }
 
-// maxStray bounds the stray answers that are read past before one's own.
-const maxStray = 3
+const (
+	// maxStray bounds the stray answers that are read past before one's own.
+	maxStray = 3
+	// maxStrayBody bounds the body of a stray answer that is read past, in bytes.
+	// More than the largest answers that are held back costs more time than the
+	// request is worth.
+	maxStrayBody = 1 << 20
+)
 
 var (
 	errIncompleteAnswer = errors.New("answer has no definite length")
@@ -133,12 +139,17 @@
 		}
 		form := r.pool.form
 		own := response.Header.Get(form.RequestIDHeader) == r.requestID
-		if own || !form.SkipStray || skipped == maxStray || !hasLength(response, r.method) {
+		skips := form.SkipStray && skipped < maxStray
+		if own || !skips || !hasLength(response, r.method) {
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBody+1))
+		if err != nil {
 			return nil, err
 		}
+		if n > maxStrayBody {
+			return response, nil
+		}
 	}
 }
 
--- a/internal/connection/target/hostile_test.go
+++ b/internal/connection/target/hostile_test.go
@@ -94,6 +94,8 @@
 		"header lines":        {"HTTP/1.1 200 OK\r\n", "A: " + line + "\r\n"},
 		"informational heads": {"", "HTTP/1.1 103 Early Hints\r\nA: " + line + "\r\n\r\n"},
 		"stray answers":       {"", whole("another")},
+		"stray body":          {head("another", "Transfer-Encoding: chunked\r\n\r\n"), "3e8\r\n" + line + "\r\n"},
+		"stray long body":     {head("another", "Content-Length: 1099511627776\r\n\r\n"), line},
 		"stray unframed body": {head("another", "\r\n"), line},
 		"chunk extension":     {head("a", "Transfer-Encoding: chunked\r\n\r\n"), "1;" + line},
 		"chunk extensions":    {head("a", "Transfer-Encoding: chunked\r\n\r\n"), "1;" + line + "\r\nx\r\n"},
