Read past no stray answer to a HEAD request

A stray answer that came before the answer to a HEAD request was read as one without a body. Its body was then read as the next head, so that a body with the text of an answer could pass for the answer.

TestStrayAnswerToAHeadRequestIsNotReadPast failed before: the text within the stray body was taken for the answer. What cannot be framed ends the exchange.

--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -130,7 +130,8 @@
 }
 
 // readOwnHead reads the head of the answer, past stray answers to other
-// requests where the form allows them.
+// requests where the form allows them. Whether one before the answer to a HEAD
+// request has a body is unknown, so it is not read past.
 func (r *exchangeRun) readOwnHead(request *http.Request) (*http.Response, error) {
 	for skipped := 0; ; skipped++ {
 		response, err := readHead(r.connection, request)
@@ -139,7 +140,7 @@
 		}
 		form := r.pool.form
 		own := response.Header.Get(form.RequestIDHeader) == r.requestID
-		skips := form.SkipStray && skipped < maxStray
+		skips := form.SkipStray && r.method != http.MethodHead && skipped < maxStray
 		if own || !skips || !hasLength(response, r.method) {
 			return response, nil
 		}
--- a/internal/connection/target/stray_test.go
+++ b/internal/connection/target/stray_test.go
@@ -80,3 +80,17 @@
 		}
 	}
 }
+
+// TestStrayAnswerToAHeadRequestIsNotReadPast: whether it has a body is not known, and
+// one could hold what looks like the answer.
+func TestStrayAnswerToAHeadRequestIsNotReadPast(t *testing.T) {
+	pool := strayPool(t, func(socket *net.TCPConn) {
+		id, _ := readRequest(bufio.NewReader(socket))
+		forged := whole(id)
+		_, _ = io.WriteString(socket, head("another", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(forged), forged)))
+	})
+	request := newRequest("a", "", "")
+	request.Method = http.MethodHead
+	_, _, err := exchangeOnce(testContext(t), t, pool, request)
+	handedWithoutAnswer(t, err)
+}
