Reject an answer whose status is none

http.ReadResponse takes any three digits, and the router passed them on: a caller got a status line that HTTP does not know, such as "099", and no body with it.

TestStatusThatIsNoneIsNoAnswer failed before in all five cases (000, 042, 099, 600, 999). RFC 9110 allows 100 to 599; anything else now ends the exchange as broken.

--- a/internal/connection/target/cut_test.go
+++ b/internal/connection/target/cut_test.go
@@ -45,3 +45,17 @@
 		})
 	}
 }
+
+// TestStatusThatIsNoneIsNoAnswer: it would be passed on as bytes that are none.
+func TestStatusThatIsNoneIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "042", "099", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			pool := strayPool(t, func(socket *net.TCPConn) {
+				id, _ := readRequest(bufio.NewReader(socket))
+				_, _ = io.WriteString(socket, strings.Replace(whole(id), "200", status, 1))
+			})
+			_, _, err := exchangeOnce(testContext(t), t, pool, newRequest("a", "", ""))
+			handedWithoutAnswer(t, err)
+		})
+	}
+}
--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -67,12 +67,15 @@
 	// More than the largest answers that are held back costs more time than the
 	// request is worth.
 	maxStrayBody = 1 << 20
+	// maxStatus is the highest status code (RFC 9110, 15).
+	maxStatus = 599
 )
 
 var (
 	errIncompleteAnswer = errors.New("answer has no definite length")
 	errCrossedAnswer    = errors.New("answer names another request")
 	errUnexpectedSwitch = errors.New("target switched protocols")
+	errNoStatus         = errors.New("the status of the answer is outside 100 to 599")
 )
 
 // Do sends the request and returns the head of the answer. The end of the
@@ -226,6 +229,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
+			return nil, errNoStatus
+		}
 		informational := response.StatusCode >= 100 && response.StatusCode < 200
 		if !informational || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
