Test what callers get for stray refusals, cut heads and bodies without end

TestFailuresOfTheTarget has the cases of a refusal that is written once more before the answer, in two parts, and in place of the answer (the request has run: 502 for what may run once, a second target for what may be repeated), and of a head that ends before its blank line.

TestBodyWithoutEndIsCutAtTheDeadline: such a body ends with the request's deadline as a broken transfer, and holds neither permit nor connection for longer.

TestRefusedRequestKeepsNoConnection: a refusal of the same attempt cannot be repeated, since its connection is closed.

--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -32,6 +32,7 @@
 	address  string
 	inFlight func() int
 	targets  []*fencetarget.Target
+	pools    *forward.Pools
 	view     *fleet.View
 
 	// waiting, if set, gets a signal from each request that waits for its permit
@@ -94,11 +95,11 @@
 	for i, fault := range faults {
 		f.addTarget(t, fmt.Sprintf("t%d", i), fault)
 	}
+	f.pools = forward.NewPools(target.Form{
+		RequestIDHeader: "Attempt-Id", Unframed: true, SkipStray: true, DialTimeout: 500 * time.Millisecond, MaxIdle: time.Second,
+	})
 	handler := forward.New(forward.Config{
-		Domain: "a", Dialect: platform.Dialect{}, Permits: f, View: func() *fleet.View { return f.view },
-		Pools: forward.NewPools(target.Form{
-			RequestIDHeader: "Attempt-Id", Unframed: true, SkipStray: true, DialTimeout: 500 * time.Millisecond, MaxIdle: time.Second,
-		}),
+		Domain: "a", Dialect: platform.Dialect{}, Permits: f, View: func() *fleet.View { return f.view }, Pools: f.pools,
 		Leaving: func() bool { return false }, Logger: zerolog.Nop(),
 	})
 	f.inFlight = handler.InFlight
@@ -195,6 +196,18 @@
 		{"extra", "/once/", 200, "t0", 1},
 		{"crossed", "/once/", 200, "t0", 1},
 		{"unframed", "/once/", 200, "t0", 1},
+		{"refusal", "/once/", 200, "t0", 1},
+		{"refusal", "/upload/", 200, "t0", 1},
+		{"refusal", "/safe/", 200, "t0", 1},
+		{"refusal-parts", "/once/", 200, "t0", 1},
+		{"refusal-parts", "/upload/", 200, "t0", 1},
+		{"refusal-parts", "/safe/", 200, "t0", 1},
+		{"refusal-only", "/once/", 502, "", 1},
+		{"refusal-only", "/upload/", 502, "", 1},
+		{"refusal-only", "/safe/", 200, "t1", 2},
+		{"head", "/once/", 502, "", 1},
+		{"head", "/upload/", 502, "", 1},
+		{"head", "/safe/", 200, "t1", 2},
 		{"unframed-reset", "/once/", 502, "", 1},
 		{"silent", "/once/", 504, "", 1},
 		{"fail", "/once/", 500, "", 1},
@@ -220,6 +233,40 @@
 	}
 }
 
+// TestBodyWithoutEndIsCutAtTheDeadline: the caller sees a broken transfer, and
+// neither the permit nor the connection is held for longer.
+func TestBodyWithoutEndIsCutAtTheDeadline(t *testing.T) {
+	for _, fault := range []string{"endless", "endless-chunked"} {
+		for _, path := range []string{"/once/", "/safe/"} {
+			t.Run(fault+path, func(t *testing.T) {
+				f := start(t, fault, "")
+				request, err := http.NewRequest("POST", "http://"+f.address+path, strings.NewReader("body"))
+				assert.NilError(t, err)
+				request.Host = "h.example"
+				request.Header = http.Header{"Attempt-Id": {"a1"}, "Request-Deadline": {"800"}}
+				began := time.Now()
+				answer, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+				assert.NilError(t, err)
+				defer answer.Body.Close()
+				_, err = io.Copy(io.Discard, answer.Body)
+				assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+				assert.Assert(t, time.Since(began) < 1300*time.Millisecond, "half a second after the deadline of 800 ms")
+				assert.DeepEqual(t, f.ended(), []admission.Result{admission.Broken})
+				assert.Equal(t, f.inFlight(), 0)
+				assert.Equal(t, f.pools.Open(), 0)
+			})
+		}
+	}
+}
+
+// TestRefusedRequestKeepsNoConnection: the target could write the refusal once more
+// there, for the same attempt.
+func TestRefusedRequestKeepsNoConnection(t *testing.T) {
+	f := start(t, "refuse")
+	assert.Equal(t, f.send(t, "POST", "/once/", "a1", "body").status, http.StatusServiceUnavailable)
+	assert.Equal(t, f.pools.Open(), 0)
+}
+
 // TestRefusalSaysWhenToComeBack and the request has not run.
 func TestRefusalSaysWhenToComeBack(t *testing.T) {
 	f := start(t, "")
--- a/internal/testutil/fencetarget/fencetarget.go
+++ b/internal/testutil/fencetarget/fencetarget.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -25,7 +26,9 @@
 	Work time.Duration
 	// Fault spoils the answers that it returns a word for: "reset", "short",
 	// "extra", "crossed", "unframed", "unframed-reset", "refuse", "fail",
-	// "silent" or "early".
+	// "silent" or "early"; "refusal", "refusal-parts" and "refusal-only" write an
+	// earlier refusal once more, "head" stops in the head, and "endless" and
+	// "endless-chunked" write a body until the caller closes.
 	Fault func(r *http.Request) string
 }
 
@@ -205,6 +208,24 @@
 		text += message(attempt, "an answer too many", true)
 	case "crossed":
 		text = message("another", "of another request", true) + text
+	case "refusal":
+		text = earlierRefusal + text
+	case "refusal-parts":
+		text = earlierRefusal + text
+		_, _ = io.WriteString(conn, text[:len(earlierRefusal)/2])
+		time.Sleep(5 * time.Millisecond)
+		text = text[len(earlierRefusal)/2:]
+	case "refusal-only":
+		text = earlierRefusal
+	case "head":
+		text = strings.TrimSuffix(message(attempt, "", false), "\r\n")
+	case "endless":
+		writeOn(conn, message(attempt, "", false), strings.Repeat("x", 4<<10))
+		return
+	case "endless-chunked":
+		writeOn(conn, strings.Replace(message(attempt, "", false), "\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n", 1),
+			"1000\r\n"+strings.Repeat("x", 4<<10)+"\r\n")
+		return
 	case "unframed":
 		text = message(attempt, Body(t.ID, attempt), false)
 	case "unframed-reset":
@@ -219,6 +240,17 @@
 	_, _ = io.WriteString(conn, text)
 }
 
+// earlierRefusal is the refusal of a request that came before.
+const earlierRefusal = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: earlier\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+// writeOn writes begin, and again until the peer takes no more.
+func writeOn(conn net.Conn, begin, again string) {
+	_, err := io.WriteString(conn, begin)
+	for err == nil {
+		_, err = io.WriteString(conn, again)
+	}
+}
+
 func message(attempt, body string, framed bool) string {
 	text := "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nServer-Seal: " + Seal(attempt) + "\r\nServer-Load: 1,0,2,100\r\n"
 	if framed {
