Answer 502 to a refusal that does not state that the request did not run

A target's 408, 429 or 503 without the header that states that the request did not run was passed on as it was. Callers take these statuses for the word that the request has not run and never will, and send it again: for a request that runs at most once the router promised what the target had not said.

TestFailuresOfTheTarget (unstated) failed before: 503 for a request that the target had run. Such an answer to a request that may not be repeated now counts as one that is lost: 502, which promises nothing. Requests that may run more than once get the target's status as before.

--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -130,6 +130,11 @@
 		cancel()
 		return x.lost(permit, x.exchangeFailed(err, expired), took)
 	}
+	return x.answered(permit, got, took, cancel)
+}
+
+// answered handles the answer of a target, the head of which has come.
+func (x *exchange) answered(permit permits.Permit, got *target.Answer, took time.Duration, cancel context.CancelFunc) outcome {
 	dialect := x.handler.config.Dialect
 	load, hasLoad := dialect.Load(got.Header)
 	if dialect.NotRun(got.Status, got.Header) {
@@ -137,6 +142,11 @@
 		cancel()
 		return x.notRun(permit, got.Status, took, load, hasLoad)
 	}
+	if x.route.Kind != fleet.Idempotent && promisesNotRun(got.Status) {
+		_ = got.Body.Close()
+		cancel()
+		return x.lost(permit, outcome{result: admission.Failed, mayHaveRun: true, arrived: true, cause: errUnstatedRefusal}, took)
+	}
 	head, err := readUpTo(got.Body, keptBody)
 	if err != nil && !errors.Is(err, io.EOF) {
 		_ = got.Body.Close()
@@ -148,6 +158,18 @@
 	}}
 }
 
+// promisesNotRun reports whether callers take a status for the word that the
+// request did not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+var errUnstatedRefusal = errors.New("the target refused the request without stating that it did not run")
+
 var errStalePermit = errors.New("the target of the permit takes no requests any more")
 
 // lost gives the permit back.
--- a/internal/testutil/fencetarget/fencetarget.go
+++ b/internal/testutil/fencetarget/fencetarget.go
@@ -27,7 +27,8 @@
 	// Fault spoils the answers that it returns a word for: "reset", "short",
 	// "extra", "crossed", "unframed", "unframed-reset", "refuse", "fail",
 	// "silent" or "early"; "refusal", "refusal-parts" and "refusal-only" write an
-	// earlier refusal once more, "head" stops in the head, and "endless" and
+	// earlier refusal once more, "unstated" answers 503 without a word that the
+	// request did not run, "head" stops in the head, and "endless" and
 	// "endless-chunked" write a body until the caller closes.
 	Fault func(r *http.Request) string
 }
@@ -215,6 +216,9 @@
 		_, _ = io.WriteString(conn, text[:len(earlierRefusal)/2])
 		time.Sleep(5 * time.Millisecond)
 		text = text[len(earlierRefusal)/2:]
+	case "unstated":
+		text = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + attempt + "\r\nServer-Seal: " + Seal(attempt) +
+			"\r\nContent-Length: 0\r\n\r\n"
 	case "refusal-only":
 		text = earlierRefusal
 	case "head":
