Give the permit of a large answer back at the deadline

A large answer is passed on as it comes. If its caller did not read, the write to the caller blocked for up to 10 s, and the broker counted the request as running at its target all the while, though the connection to the target had been reset at the deadline. A target that sends a body without end thereby held a slot per caller.

TestCallerThatDoesNotReadHoldsNoPermit failed before: no permit back half a second after the deadline. The end of the request's context now gives it back; a permit is given back once. An answer that was cut since its caller left counts as canceled and no longer as the target's fault.

--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
@@ -28,6 +29,7 @@
 	// head is the beginning of the body; complete is set if it is all of it.
 	head     []byte
 	complete bool
+	ended    sync.Once
 }
 
 // copyHeaders copies the headers that pass on.
@@ -61,6 +63,9 @@
 	defer a.cancel()
 	if a.complete {
 		x.end(permit, a, x.result(a))
+	} else {
+		// The target is free then, even if the caller does not read.
+		defer context.AfterFunc(x.ctx, func() { x.end(permit, a, x.cut()) })()
 	}
 	x.writeHead(a)
 	if _, err := x.w.Write(a.head); err != nil {
@@ -81,8 +86,17 @@
 	return admission.Answered
 }
 
+// cut is what an answer counts for that did not come to its end.
+func (x *exchange) cut() admission.Result {
+	if x.r.Context().Err() != nil {
+		return admission.Canceled
+	}
+	return admission.Broken
+}
+
+// end gives the permit back, once.
 func (x *exchange) end(permit permits.Permit, a *answer, result admission.Result) {
-	x.handler.config.Permits.End(permit, result, a.took, a.load, a.hasLoad)
+	a.ended.Do(func() { x.handler.config.Permits.End(permit, result, a.took, a.load, a.hasLoad) })
 }
 
 // writeHead writes status and headers as the target gave them.
@@ -128,7 +142,7 @@
 			return
 		}
 		if err != nil {
-			x.end(permit, a, admission.Broken)
+			x.end(permit, a, x.cut())
 			x.handler.metrics.failed("answer-cut")
 			x.log(events.ResponseCut).Err(err).Send()
 			// The caller sees a broken transfer, not a short answer.
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -262,6 +262,18 @@
 	}
 }
 
+// TestCallerThatDoesNotReadHoldsNoPermit beyond its deadline.
+func TestCallerThatDoesNotReadHoldsNoPermit(t *testing.T) {
+	f := start(t, "endless")
+	conn, err := net.Dial("tcp", f.address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /safe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nRequest-Deadline: 300\r\n\r\n")
+	assert.NilError(t, err)
+	time.Sleep(800 * time.Millisecond)
+	assert.DeepEqual(t, f.ended(), []admission.Result{admission.Broken})
+}
+
 // TestRefusedRequestKeepsNoConnection: the target could write the refusal once more
 // there, for the same attempt.
 func TestRefusedRequestKeepsNoConnection(t *testing.T) {
