Reset the connection of a cut answer that has no length

A caller of HTTP/1.0 gets an answer of unknown length up to the end of its connection. If the target's answer broke off, or did not end before the deadline, the router closed the connection in order: the caller took what had come for the whole answer.

TestBrokenAnswerWithoutLengthIsReset failed before: the answer ended with EOF. Such an answer now ends with a reset. Answers with a length or in chunks show by themselves that they are cut, and end as before, so that earlier answers on the connection are not lost to a reset.

--- a/internal/connection/caller/caller_test.go
+++ b/internal/connection/caller/caller_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -196,6 +197,20 @@
 	}
 }
 
+// TestBrokenAnswerWithoutLengthIsReset: for a caller of HTTP/1.0 the orderly end of
+// the connection is the end of the answer.
+func TestBrokenAnswerWithoutLengthIsReset(t *testing.T) {
+	f := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "abc")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	conn, reader := f.dial(t)
+	send(t, conn, "GET / HTTP/1.0\nHost: h\n\n")
+	_, err := io.ReadAll(reader)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
 // TestLimits of a head, the time for it, and idle connections.
 func TestLimits(t *testing.T) {
 	f := startWith(t, func(http.ResponseWriter, *http.Request) {}, caller.Limits{
--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -184,6 +184,7 @@
 			panic(problem)
 		}
 		if aborted || w.finish() != nil {
+			w.breakOff()
 			c.abort()
 		}
 		if body != nil {
--- a/internal/connection/caller/response.go
+++ b/internal/connection/caller/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -150,6 +151,18 @@
 	return w.err
 }
 
+// breakOff makes an incomplete answer look so. One that ends with its connection
+// takes a reset for that.
+func (w *response) breakOff() {
+	if !w.wroteHead || w.chunked || w.length >= 0 || !w.hasBody() {
+		return
+	}
+	if tcp, ok := w.conn.socket.(*net.TCPConn); ok {
+		// It fails only on a socket that is closed already.
+		_ = tcp.SetLinger(0)
+	}
+}
+
 func statusLine(status int) string {
 	text := http.StatusText(status)
 	if text == "" {
