--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"syscall"
@@ -59,13 +60,22 @@
 // Unwrap returns the cause.
 func (e *ExchangeError) Unwrap() error { return e.Cause }
 
-// maxStray bounds the stray answers that are read past before one's own.
-const maxStray = 3
+const (
+	// maxStray bounds the stray answers that are read past before one's own.
+	maxStray = 3
+	// maxStrayBody bounds the body of a stray answer that is read past, in bytes.
+	// More than the largest answers that are held back costs more time than the
+	// request is worth.
+	maxStrayBody = 1 << 20
+	// maxStatus is the highest status code (RFC 9110, 15).
+	maxStatus = 599
+)
 
 var (
 	errIncompleteAnswer = errors.New("answer has no definite length")
 	errCrossedAnswer    = errors.New("answer names another request")
 	errUnexpectedSwitch = errors.New("target switched protocols")
+	errNoStatus         = errors.New("the status of the answer is outside 100 to 599")
 )
 
 // Do sends the request and returns the head of the answer. The end of the
@@ -123,7 +133,8 @@
 }
 
 // readOwnHead reads the head of the answer, past stray answers to other
-// requests where the form allows them.
+// requests where the form allows them. Whether one before the answer to a HEAD
+// request has a body is unknown, so it is not read past.
 func (r *exchangeRun) readOwnHead(request *http.Request) (*http.Response, error) {
 	for skipped := 0; ; skipped++ {
 		response, err := readHead(r.connection, request)
@@ -132,12 +143,17 @@
 		}
 		form := r.pool.form
 		own := response.Header.Get(form.RequestIDHeader) == r.requestID
-		if own || !form.SkipStray || skipped == maxStray || !hasLength(response, r.method) {
+		skips := form.SkipStray && r.method != http.MethodHead && skipped < maxStray
+		if own || !skips || !hasLength(response, r.method) {
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBody+1))
+		if err != nil {
 			return nil, err
 		}
+		if n > maxStrayBody {
+			return response, nil
+		}
 	}
 }
 
@@ -206,11 +222,16 @@
 
 // readHead reads the head of the final answer, past informational ones.
 func readHead(c *connection, request *http.Request) (*http.Response, error) {
+	c.source.left = maxHead
+	defer func() { c.source.left = math.MaxInt64 }()
 	for {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
 		}
+		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
+			return nil, errNoStatus
+		}
 		informational := response.StatusCode >= 100 && response.StatusCode < 200
 		if !informational || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
--- /dev/null
+++ b/internal/connection/target/hostile_test.go
@@ -0,0 +1,151 @@
+package target_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
+)
+
+// maxAllocated bounds the memory that an answer without end may cost, in bytes.
+const maxAllocated = 8 << 20
+
+// strayForm is the form of targets whose stray answers are read past.
+var strayForm = target.Form{
+	RequestIDHeader: target.HeaderRequestID, Unframed: true, SkipStray: true, DialTimeout: testTimeout, MaxIdle: testTimeout,
+}
+
+// listenRaw serves each connection with a function that writes what it likes. It
+// returns the address.
+func listenRaw(t *testing.T, serve func(*net.TCPConn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer socket.Close()
+				serve(socket.(*net.TCPConn))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func strayPool(t *testing.T, serve func(*net.TCPConn)) *target.Pool {
+	pool := target.NewPoolOf(listenRaw(t, serve), 4, strayForm)
+	t.Cleanup(pool.Close)
+	return pool
+}
+
+// readRequest reads a request with its body and returns its id.
+func readRequest(in *bufio.Reader) (string, error) {
+	request, err := http.ReadRequest(in)
+	if err != nil {
+		return "", err
+	}
+	_, err = io.Copy(io.Discard, request.Body)
+	return request.Header.Get(target.HeaderRequestID), err
+}
+
+// head is the beginning of an answer to a request.
+func head(id string, headers ...string) string {
+	return "HTTP/1.1 200 OK\r\n" + target.HeaderRequestID + ": " + id + "\r\n" + strings.Join(headers, "\r\n")
+}
+
+// whole is a complete answer with the id as its body.
+func whole(id string) string {
+	return head(id, fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(id), id))
+}
+
+// handedWithoutAnswer asserts that the request counts as one that may have run.
+func handedWithoutAnswer(t *testing.T, err error) {
+	t.Helper()
+	var failed *target.ExchangeError
+	assert.Assert(t, errors.As(err, &failed) && failed.Handed, "%v", err)
+}
+
+// TestAnswerWithoutEndEndsTheExchange, soon and in little memory, wherever in a
+// head or in its framing the target goes on for ever.
+func TestAnswerWithoutEndEndsTheExchange(t *testing.T) {
+	line := strings.Repeat("x", 1000)
+	for name, c := range map[string]struct{ begin, again string }{
+		"status line":         {"HTTP/1.1 200 ", line},
+		"garbage":             {"", line},
+		"header name":         {"HTTP/1.1 200 OK\r\n", line},
+		"header value":        {"HTTP/1.1 200 OK\r\nA: ", line},
+		"continuation lines":  {"HTTP/1.1 200 OK\r\nA: b\r\n", " " + line + "\r\n"},
+		"header lines":        {"HTTP/1.1 200 OK\r\n", "A: " + line + "\r\n"},
+		"informational heads": {"", "HTTP/1.1 103 Early Hints\r\nA: " + line + "\r\n\r\n"},
+		"stray answers":       {"", whole("another")},
+		"stray body":          {head("another", "Transfer-Encoding: chunked\r\n\r\n"), "3e8\r\n" + line + "\r\n"},
+		"stray long body":     {head("another", "Content-Length: 1099511627776\r\n\r\n"), line},
+		"stray unframed body": {head("another", "\r\n"), line},
+		"chunk extension":     {head("a", "Transfer-Encoding: chunked\r\n\r\n"), "1;" + line},
+		"chunk extensions":    {head("a", "Transfer-Encoding: chunked\r\n\r\n"), "1;" + line + "\r\nx\r\n"},
+		"trailers":            {head("a", "Transfer-Encoding: chunked\r\n\r\n0\r\n"), "A: " + line + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{})
+			pool := strayPool(t, func(socket *net.TCPConn) {
+				defer close(ended)
+				if _, err := readRequest(bufio.NewReader(socket)); err != nil {
+					return
+				}
+				_, err := io.WriteString(socket, c.begin)
+				for again := []byte(strings.Repeat(c.again, 32)); err == nil; {
+					_, err = socket.Write(again)
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, _, err := exchangeOnce(ctx, t, pool, newRequest("a", "", ""))
+			runtime.ReadMemStats(&after)
+			assert.Assert(t, err != nil)
+			allocated := after.TotalAlloc - before.TotalAlloc
+			assert.Check(t, allocated < maxAllocated, "%d bytes", allocated)
+			assert.NilError(t, ctx.Err(), "the exchange lasted until its deadline")
+			assert.Equal(t, pool.Open(), 0)
+			<-ended
+		})
+	}
+}
+
+// TestBytesBeyondTheLengthEndTheConnection even if there is no end of them; the
+// answer stands.
+func TestBytesBeyondTheLengthEndTheConnection(t *testing.T) {
+	ended := make(chan struct{})
+	pool := strayPool(t, func(socket *net.TCPConn) {
+		defer close(ended)
+		id, err := readRequest(bufio.NewReader(socket))
+		for text := whole(id); err == nil; text = strings.Repeat("x", 32<<10) {
+			_, err = io.WriteString(socket, text)
+		}
+	})
+	_, body, err := exchangeOnce(testContext(t), t, pool, newRequest("a", "", ""))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "a")
+	<-ended
+	eventually(t, func() bool {
+		pool.Warm(0)
+		return pool.Open() == 0
+	}, "the connection is kept")
+}
--- a/internal/connection/target/lanes.go
+++ b/internal/connection/target/lanes.go
@@ -49,7 +49,9 @@
 	turn chan struct{}
 	// connection is nil while there is none. It changes with the turn and Lanes.mu held.
 	connection *connection
-	idle       *time.Timer
+	// answered is set once an order on the connection had an answer.
+	answered bool
+	idle     *time.Timer
 }
 
 // taken is the connection over which a fence was granted, and when it last was.
@@ -98,10 +100,15 @@
 	}
 	defer n.release()
 	response, err := exchange(ctx, n.connection, request)
+	if err == nil && n.answered && response.StatusCode == http.StatusMisdirectedRequest {
+		// The process has taken orders that named it.
+		err = errCrossedAnswer
+	}
 	if err != nil {
 		l.reset(n)
 		return 0, nil, err
 	}
+	n.answered = true
 	if response.Close || !n.connection.quiet() {
 		l.reset(n)
 		return response.StatusCode, response.Header, nil
@@ -126,11 +133,17 @@
 	if !hasLength(response, request.Method) {
 		return nil, errIncompleteAnswer
 	}
-	read, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxOrderReply+1))
+	return response, DiscardOrderBody(response.Body)
+}
+
+// DiscardOrderBody reads the body of an answer to an order to its end; a long one is
+// an error.
+func DiscardOrderBody(body io.Reader) error {
+	read, err := io.Copy(io.Discard, io.LimitReader(body, maxOrderReply+1))
 	if err == nil && read > maxOrderReply {
 		err = errors.Errorf("the answer is longer than %d bytes", maxOrderReply)
 	}
-	return response, err
+	return err
 }
 
 // take returns a lane with a connection and its turn.
@@ -220,7 +233,7 @@
 		return err
 	}
 	l.mu.Lock()
-	n.connection = connection
+	n.connection, n.answered = connection, false
 	l.mu.Unlock()
 	return nil
 }
