Count a grant that is under way as one that its target may hold

Two targets could be granted the same keys: a target's first grant was under way when its keys were moved on, nothing said that it may hold them, so it counted as released at once, the next owner was granted, and the first grant arrived beside.

A target may hold keys while a grant to it, or to its former life, has no answer. TestFirstGrantUnderWayIsHeld failed before (the former owner was dropped at once) and passes.

--- a/internal/process/coordinator/keeper.go
+++ b/internal/process/coordinator/keeper.go
@@ -61,6 +61,8 @@
 	// at the address may have taken it.
 	underWay map[fleet.Life]int
 	late     map[fleet.Life]bool
+	// granting counts the grants among them, by the life that they are for.
+	granting map[fleet.Life]int
 	// ordering are the slices with an order under way, by fence and target.
 	ordering map[order]bool
 	// retryAt is when an order that failed may be repeated.
@@ -109,7 +111,7 @@
 		slices: map[string][]fleet.Slice{}, mayHoldUntil: map[fleet.Life]time.Time{},
 		handovers: map[uint64]string{}, gone: map[fleet.Life]bool{},
 		successors: map[fleet.Life]fleet.Life{},
-		underWay:   map[fleet.Life]int{}, late: map[fleet.Life]bool{},
+		underWay:   map[fleet.Life]int{}, late: map[fleet.Life]bool{}, granting: map[fleet.Life]int{},
 		ordering: map[order]bool{}, retryAt: map[order]time.Time{},
 		confirmedAt: map[sliceID]time.Time{}, readySince: map[sliceID]time.Time{},
 		sent: map[uint64]bool{},
@@ -224,7 +226,21 @@
 	if k.gone[life] && !k.late[life] && k.underWay[life] == 0 && k.alone && (k.formerIsGone || now.After(k.heldBefore)) {
 		return false
 	}
-	return !k.alone || now.Before(k.heldBefore) || now.Before(k.mayHoldUntil[life])
+	return !k.alone || now.Before(k.heldBefore) || now.Before(k.mayHoldUntil[life]) || k.isGranted(life)
+}
+
+// isGranted reports whether a grant is under way that a target may take, also one
+// for its former life.
+func (k *keeper) isGranted(life fleet.Life) bool {
+	if k.granting[life] > 0 {
+		return true
+	}
+	for former, present := range k.successors {
+		if present == life && k.isGranted(former) {
+			return true
+		}
+	}
+	return false
 }
 
 // extend notes that a target may have a grant in force until a time.
@@ -284,6 +300,9 @@
 	}
 	k.ordering[t.order] = true
 	k.underWay[t.target]++
+	if !t.release {
+		k.granting[t.target]++
+	}
 	return append(tasks, t)
 }
 
@@ -346,6 +365,9 @@
 func (k *keeper) orderEnded(t task) {
 	delete(k.ordering, t.order)
 	k.underWay[t.target]--
+	if !t.release {
+		k.granting[t.target]--
+	}
 }
 
 // released notes the answer to a release and reports whether it was the last
--- a/internal/process/coordinator/parts_test.go
+++ b/internal/process/coordinator/parts_test.go
@@ -15,6 +15,7 @@
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/keyspace"
 )
 
 func manyTargets(count int) map[string]*fleet.Target {
@@ -327,3 +328,20 @@
 	k.granted(grant, false, now.Add(usualHold))
 	assert.Assert(t, k.mayHold(present, now.Add(2*usualHold)))
 }
+
+// TestFirstGrantUnderWayIsHeld: a target whose first grant has no answer yet may hold the keys that go to another.
+func TestFirstGrantUnderWayIsHeld(t *testing.T) {
+	now := time.Now()
+	former, next := fleet.Life{ID: "b", Born: 1}, fleet.Life{ID: "c", Born: 1}
+	k := newKeeper(map[string][]fleet.Slice{"s": {{First: 0, Last: 65535, Owner: former}}}, fencesAfter(&fleet.Record{}), usualHold)
+	k.formerEnded(now.Add(-time.Minute))
+	tasks := k.due(now)
+	assert.Equal(t, len(tasks), 1)
+	first := k.fences.next
+	list := keyspace.Apply(k.slices["s"], []keyspace.Move{{First: 0, Last: 65535, To: next}}, k.fences.plan)
+	k.begin("s", list, fences{first, k.fences.next - 1})
+	assert.Equal(t, len(k.expire(now)), 0)
+	k.granted(tasks[0], false, now.Add(grantTimeout))
+	assert.Equal(t, len(k.expire(now.Add(grantTimeout+usualHold))), 0)
+	assert.Equal(t, len(k.expire(now.Add(grantTimeout+2*usualHold))), 1)
+}
