Send a new fence only once the leader has been confirmed since it was planned

Two targets held the same keys: a leader was cut off, another took over and moved the keys of a target away, which released them and started again under its id. The former leader, which may act for 2 s, found its connection gone, gave the slice a higher fence without a write, and granted it to the new process, which remembers no fence.

Cause: that a target still owns its keys was concluded from the leader's own list, which another leader had changed.

The fence that replaces one whose connection is gone is now sent only once the store or most VMs have confirmed the leader since. Renewals on kept connections do not wait, nor do moves, which are written first, and the first grants of a new leader.

--- a/internal/process/coordinator/fences.go
+++ b/internal/process/coordinator/fences.go
@@ -16,8 +16,10 @@
 // Guarantee: no fence reaches two processes. A leader gives each slice a fence of
 // its own when it takes over, and another when a grant of it failed; in between it
 // sends the fence only over the connection on which the owner's process took it.
-// This needs no store, since the owner stays the same: it either is the process that
+// This needs no write, since the owner stays the same: it either is the process that
 // has the keys, or its successor under its name, which takes them at a higher fence.
+// A former leader may not know that the keys have moved on, and the successor does not
+// either. So such a fence is sent only once its leader has been confirmed since.
 type fences struct{ next, last uint64 }
 
 // fencesAfter are the fences of a leader that takes over a record.
@@ -39,14 +41,18 @@
 	return f.next - 1
 }
 
-// refence gives a slice another fence, with what is known of the slice. It reports
-// false if none is left until the record is written.
-func (k *keeper) refence(s *fleet.Slice) bool {
+// refence gives a slice another fence, with what is known of the slice. It is sent once
+// the leader has been confirmed since an uptime; 0 if it has been. It reports false if no
+// fence is left until the record is written.
+func (k *keeper) refence(s *fleet.Slice, confirmedSince time.Duration) bool {
 	if k.fences.next > k.fences.last {
 		return false
 	}
 	before := *s
 	s.Fence = k.fences.plan()
+	if confirmedSince != 0 {
+		k.awaits[s.Fence] = confirmedSince
+	}
 	if handover, known := k.handovers[before.Fence]; known {
 		k.handovers[s.Fence] = handover
 	}
@@ -56,12 +62,12 @@
 }
 
 // conflicted gives a slice another fence after a grant for which a higher one is
-// needed, and returns it; 0 if there is none. It is granted at once if a renewal found
-// its connection gone; a new fence that was refused may be that of a leader which has
-// been replaced.
-func (k *keeper) conflicted(t task, now time.Time) uint64 {
+// needed, and returns it; 0 if there is none. It is granted without a pause if a renewal
+// found its connection gone; a new fence that was refused may be that of a leader which
+// has been replaced.
+func (k *keeper) conflicted(t task, now time.Time, uptime time.Duration) uint64 {
 	s := k.find(t.order)
-	if s == nil || !k.refence(s) {
+	if s == nil || !k.refence(s, uptime) {
 		return 0
 	}
 	if !t.again {
--- a/internal/process/coordinator/keeper.go
+++ b/internal/process/coordinator/keeper.go
@@ -75,6 +75,9 @@
 	// in a grant.
 	fences fences
 	sent   map[uint64]bool
+	// awaits are the uptimes since which the leader has to be confirmed before a fence
+	// is first sent.
+	awaits map[uint64]time.Duration
 }
 
 // sliceID identifies a slice. Parts of a slice that was cut share its fence.
@@ -114,12 +117,12 @@
 		underWay:   map[fleet.Life]int{}, late: map[fleet.Life]bool{}, granting: map[fleet.Life]int{},
 		ordering: map[order]bool{}, retryAt: map[order]time.Time{},
 		confirmedAt: map[sliceID]time.Time{}, readySince: map[sliceID]time.Time{},
-		sent: map[uint64]bool{},
+		sent: map[uint64]bool{}, awaits: map[uint64]time.Duration{},
 	}
 	for service, list := range slices {
 		k.slices[service] = append([]fleet.Slice(nil), list...)
 		for i := range list {
-			k.refence(&k.slices[service][i])
+			k.refence(&k.slices[service][i], 0)
 		}
 	}
 	return k
@@ -137,6 +140,7 @@
 	}
 	maps.DeleteFunc(k.handovers, func(fence uint64, _ string) bool { return !fences[fence] })
 	maps.DeleteFunc(k.sent, func(fence uint64, _ bool) bool { return !fences[fence] })
+	maps.DeleteFunc(k.awaits, func(fence uint64, _ time.Duration) bool { return !fences[fence] })
 	maps.DeleteFunc(k.confirmedAt, func(id sliceID, _ time.Time) bool { return !present[id] })
 	maps.DeleteFunc(k.readySince, func(id sliceID, _ time.Time) bool { return !present[id] })
 	maps.DeleteFunc(k.retryAt, func(o order, _ time.Time) bool { return !present[sliceID{o.fence, o.first}] })
@@ -267,27 +271,28 @@
 	return freed
 }
 
-// due returns the orders to carry out now.
-func (k *keeper) due(now time.Time) []task {
+// due returns the orders to carry out now by a leader that was last confirmed at an
+// uptime.
+func (k *keeper) due(now time.Time, confirmed time.Duration) []task {
 	var tasks []task
 	for service, list := range k.slices {
 		for _, s := range list {
 			if len(s.From) > 0 {
 				for _, life := range s.From {
-					tasks = k.add(tasks, task{order: order{service, s.Fence, s.First, life, true}, slice: s}, now)
+					tasks = k.add(tasks, task{order: order{service, s.Fence, s.First, life, true}, slice: s}, now, confirmed)
 				}
 				continue
 			}
 			tasks = k.add(tasks, task{
 				order: order{service, s.Fence, s.First, s.Owner, false}, slice: s, handover: k.handovers[s.Fence],
-			}, now)
+			}, now, confirmed)
 		}
 	}
 	return tasks
 }
 
 // add adds a task unless it is under way or not due yet.
-func (k *keeper) add(tasks []task, t task, now time.Time) []task {
+func (k *keeper) add(tasks []task, t task, now time.Time, confirmed time.Duration) []task {
 	if k.ordering[t.order] || k.gone[t.target] || now.Before(k.retryAt[t.order]) {
 		return tasks
 	}
@@ -296,6 +301,10 @@
 			return tasks
 		}
 		t.again = k.sent[t.fence]
+		if !t.again && confirmed < k.awaits[t.fence] {
+			return tasks
+		}
+		delete(k.awaits, t.fence)
 		k.sent[t.fence] = true
 	}
 	k.ordering[t.order] = true
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -56,7 +56,11 @@
 
 // carryOutDue sends the orders that are due.
 func (c *Coordinator) carryOutDue(now time.Time) {
-	for _, t := range c.lead.keeper.due(now) {
+	k, confirmed := c.lead.keeper, c.lead.confirmedAt
+	if len(k.awaits) > 0 {
+		confirmed = c.confirmedAt()
+	}
+	for _, t := range k.due(now, confirmed) {
 		c.carryOut(t)
 	}
 }
@@ -168,7 +172,7 @@
 		s := &k.slices[service][i]
 		if s.Fence >= planned.next {
 			if k.fences.next > planned.last+1 {
-				k.refence(s)
+				k.refence(s, 0)
 			}
 			if s.Ready {
 				k.confirmedAt[idOf(s)] = time.Now()
@@ -258,7 +262,7 @@
 		k.failed(t, now)
 	case fault.Is(err, fault.Conflict):
 		k.failed(t, now)
-		higher = k.conflicted(t, now)
+		higher = k.conflicted(t, now, c.config.Uptime())
 		changed = higher != 0
 	default:
 		changed = k.granted(t, err == nil, now)
@@ -319,7 +323,7 @@
 	if s == nil || s.Owner != life || !s.Ready || time.Since(l.keeper.readySince[idOf(s)]) < refenceAfter {
 		return
 	}
-	if l.keeper.refence(s) {
+	if l.keeper.refence(s, c.config.Uptime()) {
 		s.Ready = false
 		c.slicesChangedSoon()
 	}
--- a/internal/process/coordinator/parts_test.go
+++ b/internal/process/coordinator/parts_test.go
@@ -265,7 +265,7 @@
 		fence := k.fences.plan()
 		k.begin("s", []fleet.Slice{{First: 0, Last: 65535, Owner: life, Fence: fence}}, fences{fence, fence})
 		k.handovers[fence] = "handover"
-		tasks := k.due(now)
+		tasks := k.due(now, 0)
 		assert.Equal(t, len(tasks), 1)
 		assert.Assert(t, k.granted(tasks[0], true, now))
 	}
@@ -296,11 +296,11 @@
 			k.granted(due, true, now)
 		}
 	}
-	answer(k.due(now))
+	answer(k.due(now, 0))
 	most := 0
 	for range 200 {
 		now = now.Add(tickEvery)
-		tasks := k.due(now)
+		tasks := k.due(now, 0)
 		most = max(most, len(tasks))
 		answer(tasks)
 	}
@@ -309,7 +309,7 @@
 
 	// Renewals that are not answered do not hold up those that are late.
 	now = now.Add(renewEvery + renewSlack)
-	assert.Equal(t, len(k.due(now)), slices)
+	assert.Equal(t, len(k.due(now, 0)), slices)
 }
 
 // TestNextLifeMayHoldGrants: grants that were sent to a life of a target that is
@@ -335,7 +335,7 @@
 	former, next := fleet.Life{ID: "b", Born: 1}, fleet.Life{ID: "c", Born: 1}
 	k := newKeeper(map[string][]fleet.Slice{"s": {{First: 0, Last: 65535, Owner: former}}}, fencesAfter(&fleet.Record{}), usualHold)
 	k.formerEnded(now.Add(-time.Minute))
-	tasks := k.due(now)
+	tasks := k.due(now, 0)
 	assert.Equal(t, len(tasks), 1)
 	first := k.fences.next
 	list := keyspace.Apply(k.slices["s"], []keyspace.Move{{First: 0, Last: 65535, To: next}}, k.fences.plan)
--- a/internal/process/coordinator/record.go
+++ b/internal/process/coordinator/record.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
@@ -41,13 +42,31 @@
 	now := c.config.Uptime()
 	following := 1
 	for _, m := range l.members {
-		if m.term == l.record.Term && now-m.followedAt < authority && m.followedAt >= l.stalledAt+afterStall/2 {
+		if m.term == l.record.Term && now-m.followedAt < authority && m.followedAt >= l.stalledAt+reportOnWay {
 			following++
 		}
 	}
 	return l.others() > 0 && 2*following > l.others()+1
 }
 
+// confirmedAt is the uptime at which this VM is last known to have led: the store had
+// not had another leader yet, or most VMs followed this one.
+func (c *Coordinator) confirmedAt() time.Duration {
+	l := c.lead
+	var followed []time.Duration
+	for _, m := range l.members {
+		if m.term == l.record.Term {
+			followed = append(followed, m.followedAt-reportOnWay)
+		}
+	}
+	most := (l.others() + 1) / 2
+	if most == 0 || len(followed) < most {
+		return l.confirmedAt
+	}
+	slices.Sort(followed)
+	return max(l.confirmedAt, followed[len(followed)-most])
+}
+
 // others is the number of VMs that a majority is of, besides this one. Those that
 // were forgotten since the store last confirmed this leader may follow another.
 func (l *leadership) others() int { return max(len(l.members), l.confirmedMembers) }
