Read a target's end and draw faults under the lock in the worlds

The worlds had two data races in the tests: awaitSuccessor read whether a target had ended outside the lock, and faults were drawn from the source that chance uses.

--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -356,7 +356,7 @@
 				w.servedWithin(2 * time.Second)
 				for range 20 {
 					w.randomFault()
-					time.Sleep(time.Duration(200+w.random.IntN(1800)) * time.Millisecond)
+					time.Sleep(time.Duration(200+w.draw(1800)) * time.Millisecond)
 				}
 				w.heal()
 				w.servedWithin(16 * time.Second)
@@ -366,15 +366,15 @@
 }
 
 func (w *world) randomFault() {
-	name := fmt.Sprintf("n%d", w.random.IntN(4))
-	id := fmt.Sprintf("t%d", w.random.IntN(5))
-	if w.random.IntN(2) == 0 {
+	name := fmt.Sprintf("n%d", w.draw(4))
+	id := fmt.Sprintf("t%d", w.draw(5))
+	if w.draw(2) == 0 {
 		if leader, _ := w.leaderWithin(); leader != "" {
 			name = leader
 		}
 	}
-	for2s := time.Duration(500+w.random.IntN(4000)) * time.Millisecond
-	kind := w.random.IntN(17)
+	for2s := time.Duration(500+w.draw(4000)) * time.Millisecond
+	kind := w.draw(17)
 	w.set(func() { w.note("fault %d, %s, %s, %s", kind, name, id, for2s) })
 	switch kind {
 	case 0:
@@ -393,7 +393,7 @@
 		for i := range 4 {
 			other := fmt.Sprintf("n%d", i)
 			w.cutFor(for2s, name+">"+other)
-			if w.random.IntN(2) == 0 {
+			if w.draw(2) == 0 {
 				w.cutFor(for2s, other+">"+name)
 			}
 		}
--- a/internal/process/coordinator/target_test.go
+++ b/internal/process/coordinator/target_test.go
@@ -166,8 +166,9 @@
 	for ctx.Err() == nil {
 		w.mu.Lock()
 		target := w.targetAt(address)
+		unanswered := target.ended && target.silent
 		w.mu.Unlock()
-		if !target.ended || !target.silent {
+		if !unanswered {
 			return
 		}
 		time.Sleep(20 * time.Millisecond)
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -389,6 +389,13 @@
 	return w.random.Float64() < *share
 }
 
+// draw draws a number below n.
+func (w *world) draw(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.IntN(n)
+}
+
 // note adds a line to the history; the lock is held.
 func (w *world) note(format string, args ...any) {
 	w.history = append(w.history, time.Since(w.began).String()+" "+fmt.Sprintf(format, args...))
