Encode what a VM had when it reported, not what it has later

A VM's report to the leader held the VM's own list of versions. Messages are encoded after Send has returned, on the goroutine of the link, while the loop writes to that list: the leader could be told of parts that had not been taken in when the report was made, or get a frame whose length does not fit. Callers would see that VM follow a change of targets or owners late.

TestReportIsNotChangedWhileItIsSent failed before and passes.

--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -66,7 +66,7 @@
 	c.reportAt = now.Add(c.reportInterval())
 	c.config.Sender.Send(c.view.Leader.VM, &peerv1.Control{Kind: &peerv1.Control_MemberReport{MemberReport: &peerv1.MemberReport{
 		Term: c.view.Term, Address: c.config.Self.Address, ProcessorMillis: c.config.Self.Processor,
-		FailureDomain: c.config.Self.FailureDomain, Have: c.have,
+		FailureDomain: c.config.Self.FailureDomain, Have: proto.Clone(c.have).(*peerv1.PartVersions),
 	}}})
 }
 
--- a/internal/process/coordinator/parts_test.go
+++ b/internal/process/coordinator/parts_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"encoding/binary"
 	"fmt"
 	"maps"
@@ -345,3 +346,21 @@
 	assert.Equal(t, len(k.expire(now.Add(grantTimeout+usualHold))), 0)
 	assert.Equal(t, len(k.expire(now.Add(grantTimeout+2*usualHold))), 1)
 }
+
+// keptSender keeps what is sent, as the queue of a link does.
+type keptSender struct{ sent []*peerv1.Control }
+
+func (s *keptSender) Send(_ string, message *peerv1.Control) { s.sent = append(s.sent, message) }
+
+func (s *keptSender) Call(context.Context, string, *peerv1.Control) (*peerv1.Control, error) {
+	return nil, context.Canceled
+}
+
+// TestReportIsNotChangedWhileItIsSent: messages are encoded after Send has returned.
+func TestReportIsNotChangedWhileItIsSent(t *testing.T) {
+	sender := &keptSender{}
+	c := &Coordinator{config: Config{Sender: sender}, view: &fleet.View{}, have: &peerv1.PartVersions{Targets: 7}}
+	c.report(time.Now())
+	c.have.Targets = 8
+	assert.Equal(t, sender.sent[0].GetMemberReport().Have.Targets, uint64(7))
+}
