Count grants after the proof of a target's end as the next life's

Two targets could hold the same keys for up to 3 s: a target ended and its port refused a grant; witnesses were asked whether it had ended; it started again under its id and took the next grant, 0.2 s after the first; then the witnesses' answer came, which was about the time before. Its life counted as over and as holding nothing, and its keys went to others at once.

The proof of an end now has a time, that of the question; what was granted after it may be held by the next life, whose grants have to run out. The same code covered grants that ended after the proof came in, but not those that ended between the question and the answer.

TestNextLifeThatTookAGrantDuringTheProbeKeepsIt failed (granted to t4 at fence 13 while t2 holds it at fence 11 for 2.85 s) and passes.

--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -255,6 +255,28 @@
 	}
 }
 
+// TestNextLifeThatTookAGrantDuringTheProbeKeepsIt: a target starts again while witnesses are asked whether it has ended.
+func TestNextLifeThatTookAGrantDuringTheProbeKeepsIt(t *testing.T) {
+	for dark := 50 * time.Millisecond; dark < time.Second; dark += 50 * time.Millisecond {
+		t.Run(dark.String(), func(t *testing.T) {
+			run(t, seed.Value, 4, 5, func(w *world) {
+				w.servedWithin(2 * time.Second)
+				time.Sleep(2 * time.Second)
+				leader, _ := w.leader()
+				for _, far := range everybody(4, 0) {
+					if domainOf(far) != domainOf("t2") {
+						w.cutFor(2*time.Second, leader+">"+far)
+					}
+				}
+				w.endTarget("t2")
+				time.Sleep(dark)
+				w.register("t2", "t2")
+				time.Sleep(4 * time.Second)
+			})
+		})
+	}
+}
+
 // register starts a target at a place and registers it once it has run for a while.
 func (w *world) register(place, id string) {
 	next := w.startAt(place, id)
--- a/internal/process/coordinator/keeper.go
+++ b/internal/process/coordinator/keeper.go
@@ -181,9 +181,11 @@
 	return time.Duration(float64(hold)*(1+clockSlack)) + holdMargin
 }
 
-// ended notes that a life of a target is over.
-func (k *keeper) ended(life fleet.Life) {
+// ended notes that a life of a target was over at a time. What was granted later
+// may have been taken by the next life.
+func (k *keeper) ended(life fleet.Life, at time.Time) {
 	k.gone[life] = true
+	k.late[life] = k.late[life] || k.mayHoldUntil[life].After(at.Add(longestHeld(k.hold)))
 	for _, list := range k.slices {
 		for i := range list {
 			list[i].Ready = list[i].Ready && list[i].Owner != life
@@ -193,8 +195,8 @@
 
 // startedAgain notes that a target runs in a newer life. Orders to the former
 // one may have reached the new one, so that has to release the keys.
-func (k *keeper) startedAgain(former, present fleet.Life) {
-	k.ended(former)
+func (k *keeper) startedAgain(former, present fleet.Life, now time.Time) {
+	k.ended(former, now)
 	k.successors[former] = present
 	k.extend(present, k.mayHoldUntil[former])
 	for _, list := range k.slices {
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -152,7 +152,7 @@
 			Str("to", m.To.ID).Bool("joins", m.Joins).Uint64("term", l.record.Term).Int64("revision", l.revision).Send()
 	}
 	l.keeper.begin(service, l.record.Slices[service], planned)
-	c.noteLives(c.view.Targets)
+	c.noteLives(c.view.Targets, time.Now())
 	c.slicesChanged()
 	c.carryOutDue(time.Now())
 }
@@ -251,7 +251,7 @@
 		// Another process at the target's address shows that the target has ended.
 		k.failed(t, now)
 		changed = !k.gone[t.target]
-		k.ended(t.target)
+		k.ended(t.target, now)
 	case t.release && err == nil:
 		changed = k.released(t, handover)
 	case t.release:
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -199,7 +199,7 @@
 	if c.observer.Complete() {
 		view.Targets, view.Evacuated = c.observer.Targets(), c.observer.Evacuated()
 		l.parts.setTargets(view.Targets, view.Evacuated)
-		c.noteLives(view.Targets)
+		c.noteLives(view.Targets, now)
 	}
 	view.Brokers = c.brokers(view.Config)
 	l.parts.setMembers(view.Members, view.Brokers)
@@ -208,7 +208,7 @@
 }
 
 // noteLives notes targets that have started again.
-func (c *Coordinator) noteLives(targets map[string]*fleet.Target) {
+func (c *Coordinator) noteLives(targets map[string]*fleet.Target, now time.Time) {
 	k := c.lead.keeper
 	started := map[fleet.Life]fleet.Life{}
 	for _, list := range k.slices {
@@ -221,6 +221,6 @@
 		}
 	}
 	for former, present := range started {
-		k.startedAgain(former, present)
+		k.startedAgain(former, present, now)
 	}
 }
--- a/internal/process/coordinator/parts_test.go
+++ b/internal/process/coordinator/parts_test.go
@@ -323,7 +323,7 @@
 	now := time.Now()
 	grant := task{order: order{"s", 1, 0, former, false}, slice: slice}
 	k.granted(grant, true, now)
-	k.startedAgain(former, present)
+	k.startedAgain(former, present, now)
 	assert.Assert(t, k.mayHold(present, now.Add(usualHold)))
 	assert.Assert(t, !k.mayHold(present, now.Add(2*usualHold)))
 	k.granted(grant, false, now.Add(usualHold))
--- a/internal/process/coordinator/witness.go
+++ b/internal/process/coordinator/witness.go
@@ -101,6 +101,7 @@
 		return
 	}
 	l.confirming[life] = true
+	asked := time.Now()
 	w, address, domain := c.witnessesOf(target.FailureDomain, c.view, ""), target.Address, target.FailureDomain
 	go func() {
 		ended := c.portClosed(address, w)
@@ -112,7 +113,7 @@
 			events.TargetEndChecked.Log(c.config.Logger).Str("target", life.ID).Int64("born", life.Born).
 				Str("failure_domain", domain).Strs("near", w.near).Strs("far", w.far).Bool("self_near", w.selfNear).Bool("ended", ended).Send()
 			if ended {
-				l.keeper.ended(life)
+				l.keeper.ended(life, asked)
 				c.slicesChangedSoon()
 			}
 		})
