--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -255,6 +255,28 @@
 	}
 }
 
+// TestNextLifeThatTookAGrantDuringTheProbeKeepsIt: a target starts again while witnesses are asked whether it has ended.
+func TestNextLifeThatTookAGrantDuringTheProbeKeepsIt(t *testing.T) {
+	for dark := 50 * time.Millisecond; dark < time.Second; dark += 50 * time.Millisecond {
+		t.Run(dark.String(), func(t *testing.T) {
+			run(t, seed.Value, 4, 5, func(w *world) {
+				w.servedWithin(2 * time.Second)
+				time.Sleep(2 * time.Second)
+				leader, _ := w.leader()
+				for _, far := range everybody(4, 0) {
+					if domainOf(far) != domainOf("t2") {
+						w.cutFor(2*time.Second, leader+">"+far)
+					}
+				}
+				w.endTarget("t2")
+				time.Sleep(dark)
+				w.register("t2", "t2")
+				time.Sleep(4 * time.Second)
+			})
+		})
+	}
+}
+
 // register starts a target at a place and registers it once it has run for a while.
 func (w *world) register(place, id string) {
 	next := w.startAt(place, id)
@@ -356,7 +378,7 @@
 				w.servedWithin(2 * time.Second)
 				for range 20 {
 					w.randomFault()
-					time.Sleep(time.Duration(200+w.random.IntN(1800)) * time.Millisecond)
+					time.Sleep(time.Duration(200+w.draw(1800)) * time.Millisecond)
 				}
 				w.heal()
 				w.servedWithin(16 * time.Second)
@@ -366,15 +388,15 @@
 }
 
 func (w *world) randomFault() {
-	name := fmt.Sprintf("n%d", w.random.IntN(4))
-	id := fmt.Sprintf("t%d", w.random.IntN(5))
-	if w.random.IntN(2) == 0 {
+	name := fmt.Sprintf("n%d", w.draw(4))
+	id := fmt.Sprintf("t%d", w.draw(5))
+	if w.draw(2) == 0 {
 		if leader, _ := w.leaderWithin(); leader != "" {
 			name = leader
 		}
 	}
-	for2s := time.Duration(500+w.random.IntN(4000)) * time.Millisecond
-	kind := w.random.IntN(17)
+	for2s := time.Duration(500+w.draw(4000)) * time.Millisecond
+	kind := w.draw(17)
 	w.set(func() { w.note("fault %d, %s, %s, %s", kind, name, id, for2s) })
 	switch kind {
 	case 0:
@@ -393,7 +415,7 @@
 		for i := range 4 {
 			other := fmt.Sprintf("n%d", i)
 			w.cutFor(for2s, name+">"+other)
-			if w.random.IntN(2) == 0 {
+			if w.draw(2) == 0 {
 				w.cutFor(for2s, other+">"+name)
 			}
 		}
