Discard an answer whose head holds the beginning of another

A target that wrote the beginning of an earlier refusal once more, in place of the whole, got the request repeated although it ran it: a request that may run once ran at two targets, or its caller was told that it had not run.

If the earlier head is cut inside its reason phrase or the value of a header, its last line and the status line of the answer behind it read as one line. The parser sees a single head: the status (421, 503) and the refusal of the first, the request's id of the second. Checking the id cannot tell them apart.

A status line inside a reason phrase, header or trailer name now makes the head no answer, so the outcome is unknown (502, or another target where the request may run more than once). A cut at any other byte was malformed before as well. The tests cut four heads at each byte, for both forms of targets, and the head of the answer before a refusal.

--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -76,6 +76,7 @@
 	errCrossedAnswer    = errors.New("answer names another request")
 	errUnexpectedSwitch = errors.New("target switched protocols")
 	errNoStatus         = errors.New("the status of the answer is outside 100 to 599")
+	errTwoHeads         = errors.New("the head of the answer holds the beginning of another")
 )
 
 // Do sends the request and returns the head of the answer. The end of the
@@ -232,6 +233,9 @@
 		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
 			return nil, errNoStatus
 		}
+		if !oneHead(response) {
+			return nil, errTwoHeads
+		}
 		informational := response.StatusCode >= 100 && response.StatusCode < 200
 		if !informational || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
--- /dev/null
+++ b/internal/connection/target/glued_test.go
@@ -0,0 +1,64 @@
+package target_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
+)
+
+// TestCutHeadBeforeTheAnswerIsNoPartOfIt, at whichever byte the head of the other
+// answer is cut.
+func TestCutHeadBeforeTheAnswerIsNoPartOfIt(t *testing.T) {
+	id := target.HeaderRequestID + ": x\r\n"
+	for name, cut := range map[string]string{
+		"refusal, id last":     "HTTP/1.1 503 Service Unavailable\r\n" + target.HeaderNotRun + ": shed\r\nServer-Load: 3,0,8\r\n" + id + "Content-Length: 4\r\n\r\nfull",
+		"refusal, id first":    "HTTP/1.1 503 Service Unavailable\r\n" + id + target.HeaderNotRun + ": shed\r\nServer-Load: 3,0,8\r\nContent-Length: 0\r\n\r\n",
+		"refusal without id":   "HTTP/1.1 421 Misdirected Request\r\nRetry-After: 1\r\nTrailer: T\r\nTransfer-Encoding: chunked\r\n\r\n4;e=f\r\nfull\r\n0\r\nT: u\r\n\r\n",
+		"informational answer": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+	} {
+		for _, form := range []target.Form{strayForm, target.OwnForm} {
+			form.Probe = false
+			t.Run(fmt.Sprint(name, form.SkipStray), func(t *testing.T) {
+				for n := range len(cut) {
+					pool := target.NewPoolOf(listenRaw(t, func(socket *net.TCPConn) {
+						id, _ := readRequest(bufio.NewReader(socket))
+						_, _ = io.WriteString(socket, cut[:n]+whole(id))
+					}), 1, form)
+					answer, body, err := exchangeOnce(testContext(t), t, pool, newRequest("a", "", ""))
+					pool.Close()
+					if answer == nil {
+						handedWithoutAnswer(t, err)
+						continue
+					}
+					assert.Equal(t, answer.Status, http.StatusOK, "cut after %q", cut[:n])
+					assert.Equal(t, answer.Header.Get(target.HeaderNotRun), "", "cut after %q", cut[:n])
+					assert.Equal(t, body, "a", "cut after %q", cut[:n])
+					assert.NilError(t, err)
+				}
+			})
+		}
+	}
+}
+
+// TestCutHeadOfTheAnswerTakesNothingFromTheNext, at whichever byte it is cut.
+func TestCutHeadOfTheAnswerTakesNothingFromTheNext(t *testing.T) {
+	refusal := "HTTP/1.1 503 Service Unavailable\r\n" + target.HeaderNotRun + ": shed\r\n" + target.HeaderRequestID + ": x\r\nContent-Length: 0\r\n\r\n"
+	cut := strings.TrimSuffix(head("a", "Keep-Alive: timeout=10\r\n\r\n"), "\n")
+	for n := range len(cut) {
+		pool := strayPool(t, func(socket *net.TCPConn) {
+			_, _ = readRequest(bufio.NewReader(socket))
+			_, _ = io.WriteString(socket, cut[:n]+refusal)
+		})
+		answer, _, err := exchangeOnce(testContext(t), t, pool, newRequest("a", "", ""))
+		assert.Assert(t, answer == nil, "cut after %q", cut[:n])
+		handedWithoutAnswer(t, err)
+	}
+}
--- a/internal/testutil/fencetarget/fencetarget.go
+++ b/internal/testutil/fencetarget/fencetarget.go
@@ -27,9 +27,9 @@
 	// Fault spoils the answers that it returns a word for: "reset", "short",
 	// "extra", "crossed", "unframed", "unframed-reset", "refuse", "fail",
 	// "silent" or "early"; "refusal", "refusal-parts" and "refusal-only" write an
-	// earlier refusal once more, "unstated" answers 503 without a word that the
-	// request did not run, "head" stops in the head, and "endless" and
-	// "endless-chunked" write a body until the caller closes.
+	// earlier refusal once more and "refusal-cut" the beginning of one, "unstated"
+	// answers 503 without a word that the request did not run, "head" stops in the
+	// head, and "endless" and "endless-chunked" write a body until the caller closes.
 	Fault func(r *http.Request) string
 }
 
@@ -221,6 +221,8 @@
 			"\r\nContent-Length: 0\r\n\r\n"
 	case "refusal-only":
 		text = earlierRefusal
+	case "refusal-cut":
+		text = "HTTP/1.1 421 Misdirected Requ" + text
 	case "head":
 		text = strings.TrimSuffix(message(attempt, "", false), "\r\n")
 	case "endless":
