Keep the connection of a sound answer in the fenced stand-in of a target

The handler is not at fault: 502 is right. The stand-in closed the connection after each answer without a word. If its goroutine was held up between the answer and the close, the next request went out on that connection and was lost.

A sound answer now leaves its connection open, as targets' servers do; spoilt ones close it as before. The test stays as it was.

--- a/internal/testutil/fencetarget/fencetarget.go
+++ b/internal/testutil/fencetarget/fencetarget.go
@@ -149,7 +149,11 @@
 	case <-r.Context().Done():
 		return
 	}
-	t.answer(w, r, fault)
+	if fault != "" {
+		t.spoil(w, r, fault)
+		return
+	}
+	t.answer(w, r.Header.Get("Attempt-Id"))
 }
 
 // begin starts a request, or returns the status with which it is refused.
@@ -187,8 +191,23 @@
 // Body is the body of the answer to an attempt.
 func Body(id, attempt string) string { return "answer of " + id + " to " + attempt }
 
-// answer writes the answer, spoilt as the fault says, on the raw connection.
-func (t *Target) answer(w http.ResponseWriter, r *http.Request, fault string) {
+// answer writes the answer; the connection goes on.
+func (t *Target) answer(w http.ResponseWriter, attempt string) {
+	body := Body(t.ID, attempt)
+	header := w.Header()
+	header["Content-Type"] = nil
+	header.Set("Attempt-Id", attempt)
+	header.Set("Server-Seal", Seal(attempt))
+	header.Set("Server-Load", load)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = io.WriteString(w, body)
+}
+
+// load is the targets' word on their load.
+const load = "1,0,2,100"
+
+// spoil writes the answer as the fault says on the raw connection, and closes it.
+func (t *Target) spoil(w http.ResponseWriter, r *http.Request, fault string) {
 	attempt := r.Header.Get("Attempt-Id")
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -258,7 +277,7 @@
 }
 
 func message(attempt, body string, framed bool) string {
-	text := "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nServer-Seal: " + Seal(attempt) + "\r\nServer-Load: 1,0,2,100\r\n"
+	text := "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nServer-Seal: " + Seal(attempt) + "\r\nServer-Load: " + load + "\r\n"
 	if framed {
 		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
