Close the connection to a target with a refusal

Entries send a request that was refused again under the same id, and the dispatcher kept the connection of a refusal and used it next. The id tells answers to different requests apart, not those to two sendings of one.

The connection now ends with the refusal, as it does in serve, so that nothing written on it later is read. That also ends the wait for the rest of a refusal's body, of which there may be no end. A new id for each sending was ruled out: targets may recognise a repeated request by its id.

Each refusal by a target now costs a new connection with its probe; how many that is under load was not measured.

--- a/internal/request/dispatch/outcomes.go
+++ b/internal/request/dispatch/outcomes.go
@@ -60,9 +60,10 @@
 	return unknown(outcome.TargetBroken), false
 }
 
-// refusedByTarget ends a ticket that the target states not to have run.
+// refusedByTarget ends a ticket that the target states not to have run. The
+// connection goes too: a request comes again under its id, and the refusal, written
+// once more, would be taken for the answer to it.
 func (e *endpoint) refusedByTarget(t *ticket, answer *target.Answer, stated string) result {
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, InlineBytes))
 	_ = answer.Body.Close()
 	reason := outcome.TargetShed
 	switch stated {
