Use no connection with bytes beyond its probe's answer

The probe read at most 1 MiB and took that for the end, and only connections from the pool were looked at before use, not new ones. Now a longer body fails the probe, and a connection that is not quiet after it is closed; the request is not sent.

--- a/internal/connection/target/connection.go
+++ b/internal/connection/target/connection.go
@@ -36,7 +36,10 @@
 // bytes. Common proxies take 8 to 64 KiB.
 const maxHead = 64 << 10
 
-var errLongHead = errors.New("the head of the answer does not end")
+var (
+	errLongHead   = errors.New("the head of the answer does not end")
+	errLongAnswer = errors.New("the target sent more than its answer")
+)
 
 // boundedReader fails after a number of bytes.
 type boundedReader struct {
@@ -149,9 +152,12 @@
 	if !hasLength(response, http.MethodGet) || response.Close {
 		return errIncompleteAnswer
 	}
-	if err := discardAll(response.Body); err != nil {
+	if err := discard(response.Body, maxControlReply); err != nil {
 		return err
 	}
+	if !c.quiet() {
+		return errLongAnswer
+	}
 	c.incarnation = response.Header.Get(HeaderIncarnation)
 	c.socket.accepted = 0
 	return nil
--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -252,7 +252,11 @@
 	return len(encodings) > 0 && encodings[len(encodings)-1] == "chunked"
 }
 
-func discardAll(body io.Reader) error {
-	_, err := io.Copy(io.Discard, io.LimitReader(body, maxControlReply))
+// discard reads a body to its end; one above the limit in bytes is an error.
+func discard(body io.Reader, limit int64) error {
+	read, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
+	if err == nil && read > limit {
+		err = errors.Errorf("the answer is longer than %d bytes", limit)
+	}
 	return err
 }
--- a/internal/connection/target/hostile_test.go
+++ b/internal/connection/target/hostile_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
 )
 
 // maxAllocated bounds the memory that an answer without end may cost, in bytes.
@@ -149,3 +150,33 @@
 		return pool.Open() == 0
 	}, "the connection is kept")
 }
+
+// TestBytesBeyondTheProbeSendNoRequest: what is sent behind them would be lost.
+func TestBytesBeyondTheProbeSendNoRequest(t *testing.T) {
+	for name, text := range map[string]string{
+		"doubled":  whole("") + whole(""),
+		"long":     head("", fmt.Sprintf("Content-Length: %d\r\n\r\n", 2<<20), strings.Repeat("x", 2<<20)),
+		"then cut": whole("") + "HTTP/1.1 503 Serv",
+	} {
+		t.Run(name, func(t *testing.T) {
+			requests := make(chan string, 4)
+			form := target.OwnForm
+			form.DialTimeout = testTimeout
+			pool := target.NewPoolOf(listenRaw(t, func(socket *net.TCPConn) {
+				in := bufio.NewReader(socket)
+				if _, err := readRequest(in); err != nil {
+					return
+				}
+				_, _ = io.WriteString(socket, text)
+				if id, err := readRequest(in); err == nil {
+					requests <- id
+				}
+			}), 1, form)
+			t.Cleanup(pool.Close)
+			_, err := pool.Reserve(testContext(t))
+			assert.Assert(t, fault.Is(err, fault.Unavailable), "%v", err)
+			assert.Equal(t, pool.Open(), 0)
+			assert.Equal(t, len(requests), 0)
+		})
+	}
+}
--- a/internal/connection/target/lanes.go
+++ b/internal/connection/target/lanes.go
@@ -138,13 +138,7 @@
 
 // DiscardOrderBody reads the body of an answer to an order to its end; a long one is
 // an error.
-func DiscardOrderBody(body io.Reader) error {
-	read, err := io.Copy(io.Discard, io.LimitReader(body, maxOrderReply+1))
-	if err == nil && read > maxOrderReply {
-		err = errors.Errorf("the answer is longer than %d bytes", maxOrderReply)
-	}
-	return err
-}
+func DiscardOrderBody(body io.Reader) error { return discard(body, maxOrderReply) }
 
 // take returns a lane with a connection and its turn.
 func (l *Lanes) take(ctx context.Context, fence uint64, again bool) (*lane, error) {
