Send no orders at former fences once a target shows another leader

A replaced leader that was cut off from the store and the other VMs went on for up to 2 s, as it may, but with the refusals of its fences before its eyes: each reachable target answered that it had seen a higher one, the leader took its next fence, and so on. A target that started again under its id in that time has seen none, and took keys at the former leader's fences, below those that its former life had from the present leader, and while the present leader may have given them to another.

Cause: a leader whose connection is lost gives its slice a new fence at once, to whatever process has the target's id, and a fence that it may give out is not above those of a leader that came after it. A refusal of a fence that is new and still the slice's own can only come from a later leader's higher one. It now puts the lead in doubt, as a stop of the VM does: no orders until the store or a majority says anew that it leads. What stays open are the restarts before the first refusal, at most 0.75 s after the new leader's first grants.

TestReplacedLeaderGivesNoKeysToANextLife failed and passes.

--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -3,6 +3,8 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -277,6 +279,39 @@
 	}
 }
 
+// TestReplacedLeaderGivesNoKeysToANextLife: the former leader knows by a higher fence that it has been replaced, and a target that starts again then has seen none.
+func TestReplacedLeaderGivesNoKeysToANextLife(t *testing.T) {
+	for i := range uint64(8) {
+		run(t, seed.Value+i, 4, 5, func(w *world) {
+			w.set(func() { w.fencesOfAll = true })
+			w.servedWithin(2 * time.Second)
+			time.Sleep(2*time.Second + time.Duration(i)*90*time.Millisecond)
+			leader, _ := w.leader()
+			for _, other := range everybody(4, 0) {
+				w.cutFor(5*time.Second, leader+">"+other)
+				w.cutFor(5*time.Second, other+">"+leader)
+			}
+			w.cutFor(5*time.Second, leader+">store")
+			for began := time.Now(); !w.noted("a higher fence was seen"); time.Sleep(5 * time.Millisecond) {
+				if time.Since(began) > 4*time.Second {
+					w.set(func() { w.problem("no order of the former leader was refused") })
+					return
+				}
+			}
+			w.endTarget("t2")
+			w.register("t2", "t2")
+			time.Sleep(4 * time.Second)
+		})
+	}
+}
+
+// noted reports whether a line of the history contains a text.
+func (w *world) noted(text string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.history, func(line string) bool { return strings.Contains(line, text) })
+}
+
 // register starts a target at a place and registers it once it has run for a while.
 func (w *world) register(place, id string) {
 	next := w.startAt(place, id)
--- a/internal/process/coordinator/fences.go
+++ b/internal/process/coordinator/fences.go
@@ -55,6 +55,14 @@
 	return true
 }
 
+// isOutdone reports whether the refusal of a grant shows another leader: the fence was
+// new and is the slice's present one, so that this leader has given out no higher one
+// for its keys.
+func (k *keeper) isOutdone(t task) bool {
+	s := k.find(t.order)
+	return !t.again && s != nil && s.Last == t.slice.Last && s.Owner == t.target && len(s.From) == 0
+}
+
 // conflicted gives a slice another fence after a grant for which a higher one is
 // needed, and returns it; 0 if there is none. It is granted at once if a renewal found
 // its connection gone; a new fence that was refused may be that of a leader which has
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -258,6 +258,9 @@
 		k.failed(t, now)
 	case fault.Is(err, fault.Conflict):
 		k.failed(t, now)
+		if k.isOutdone(t) {
+			c.lead.doubt(c.config.Uptime())
+		}
 		higher = k.conflicted(t, now)
 		changed = higher != 0
 	default:
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -52,9 +52,9 @@
 	// confirmedMembers is the number of other VMs at that time.
 	confirmedMembers int
 	touchAt          time.Time
-	// tickedAt and stalledAt are the uptimes of the last tick and of the last
-	// tick that came much too late.
-	tickedAt, stalledAt time.Duration
+	// tickedAt and doubtedAt are the uptimes of the last tick and of the last time at
+	// which it came into doubt that this VM still leads.
+	tickedAt, doubtedAt time.Duration
 	// since is when the leadership began.
 	since time.Time
 	// superseded is set once no former leader can act any more.
--- a/internal/process/coordinator/record.go
+++ b/internal/process/coordinator/record.go
@@ -16,22 +16,27 @@
 	l := c.lead
 	now := c.config.Uptime()
 	if l.tickedAt != 0 && now-l.tickedAt > stall {
-		l.stalledAt = now
-		l.touchAt = time.Time{}
+		l.doubt(now)
 		events.LeaderStalled.Log(c.config.Logger).Uint64("term", l.record.Term).Dur("stopped", now-l.tickedAt).Send()
 	}
 	l.tickedAt = now
 }
 
+// doubt keeps this VM from sending orders until it has heard anew that it leads.
+func (l *leadership) doubt(now time.Duration) {
+	l.doubtedAt = now
+	l.touchAt = time.Time{}
+}
+
 // mayAct reports whether this VM is known to lead: the store or a majority of
-// the VMs has said so lately, and since it was last stopped.
+// the VMs has said so lately, and since it last was in doubt.
 func (c *Coordinator) mayAct() bool {
 	l := c.lead
 	now := c.config.Uptime()
-	if now-l.tickedAt > stall || l.stalledAt != 0 && now-l.stalledAt < afterStall {
+	if now-l.tickedAt > stall || l.doubtedAt != 0 && now-l.doubtedAt < afterStall {
 		return false
 	}
-	return now-l.confirmedAt < authority && l.confirmedAt >= l.stalledAt || c.majority()
+	return now-l.confirmedAt < authority && l.confirmedAt >= l.doubtedAt || c.majority()
 }
 
 // majority reports whether most VMs follow this one. A VM follows one leader at
@@ -41,7 +46,7 @@
 	now := c.config.Uptime()
 	following := 1
 	for _, m := range l.members {
-		if m.term == l.record.Term && now-m.followedAt < authority && m.followedAt >= l.stalledAt+afterStall/2 {
+		if m.term == l.record.Term && now-m.followedAt < authority && m.followedAt >= l.doubtedAt+afterStall/2 {
 			following++
 		}
 	}
