Drop a killed leader's undelivered grants

A grant of a leader that was killed could arrive seconds later through a partition that healed, at a target that has seen no higher fence: the leader that follows where the former one's process is known to be gone gives the target's keys away as soon as a grant's length is over, and two targets hold them.

Cause: since grants use kept connections, these were reset when a grant was given up, but a kernel goes on sending what a killed process has written. The connections that they replace dropped it, as those of releases still do: they were told to when opened.

TestGrantsEndWithTheirSender kills a process that has sent a grant: the connection ended with EOF before, and is reset now.

--- a/internal/connection/target/connection.go
+++ b/internal/connection/target/connection.go
@@ -76,11 +76,17 @@
 // orderly close would go on delivering it: a request that was given up would
 // reach its target through a healed partition seconds later.
 func (s *countingSocket) reset() {
+	s.dropUndelivered()
+	_ = s.Close()
+}
+
+// dropUndelivered lets the kernel deliver nothing more once the socket is closed, also
+// by the end of this process.
+func (s *countingSocket) dropUndelivered() {
 	if tcp, ok := s.Conn.(*net.TCPConn); ok {
 		// It fails only on a socket that is closed already.
 		_ = tcp.SetLinger(0)
 	}
-	_ = s.Close()
 }
 
 // dial opens a connection.
--- a/internal/connection/target/lanes.go
+++ b/internal/connection/target/lanes.go
@@ -232,6 +232,7 @@
 	if err != nil {
 		return err
 	}
+	connection.socket.dropUndelivered()
 	l.mu.Lock()
 	n.connection, n.answered = connection, false
 	l.mu.Unlock()
--- a/internal/connection/target/lanes_test.go
+++ b/internal/connection/target/lanes_test.go
@@ -1,13 +1,17 @@
 package target_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"os/exec"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -91,6 +95,33 @@
 	}
 }
 
+// TestGrantsEndWithTheirSender: what a VM that is killed has not delivered must not arrive through a partition that heals.
+func TestGrantsEndWithTheirSender(t *testing.T) {
+	const addressVariable = "GRANT_TO"
+	if address := os.Getenv(addressVariable); address != "" {
+		t.Log(grant(t, target.NewLanes(address, time.Second), 1, false, time.Minute))
+		return
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	sender := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$")
+	sender.Env = append(os.Environ(), addressVariable+"="+listener.Addr().String())
+	assert.NilError(t, sender.Start())
+	socket, err := listener.Accept()
+	assert.NilError(t, err)
+	defer socket.Close()
+	reader := bufio.NewReader(socket)
+	request, err := http.ReadRequest(reader)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, request.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, sender.Process.Kill())
+	_ = sender.Wait()
+	_, err = reader.ReadByte()
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "the connection ended with: %v", err)
+}
+
 func TestSilentOrderHoldsUpNoOther(t *testing.T) {
 	g := newGrantor(t)
 	lanes := target.NewLanes(g.address(), time.Second)
