Number permits of a VM's processes apart

After a restart of a VM, its caller's request could be sent to a target of another service, or its permit never given back. A broker knows a request by the VM's name and a number, and numbers began at 1 in each process: the decision on a request of the former process, which waits until its deadline, was taken by the next process for that of the request that had the number anew, and went there under the target's id, so that the target ran it. A number that came twice also took the place of the permit that had it, whose slot stayed taken.

Numbers now begin at random, as incarnations are drawn; a number then takes 7 bytes instead of 2 or 3.

TestRequestOfAFormerProcessIsNotAnswered failed (a request for service other got t0 of service s) and passes.

--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,9 @@
 	// queuedCheck is the interval at which a queued request looks whether its
 	// broker is still heard.
 	queuedCheck = 100 * time.Millisecond
+	// firstNumbers is the number of numbers from which a process of a VM draws its
+	// first: too many for two processes to meet, in few bytes.
+	firstNumbers = 1 << 48
 	// tickEvery is the interval at which the broker looks at what waits.
 	tickEvery = 10 * time.Millisecond
 )
@@ -44,6 +48,8 @@
 // services, and the client of the brokers of the others.
 type Desk struct {
 	config Config
+	// number is that of the last own request. It begins at random, since a broker may
+	// still have requests of a former process of this VM.
 	number atomic.Uint64
 
 	mu sync.Mutex
@@ -71,6 +77,7 @@
 		config: config, demand: map[string]*keyspace.Load{}, waiting: map[uint64]chan admission.Decision{},
 		queued: map[uint64]bool{}, distrust: map[string]time.Time{},
 	}
+	d.number.Store(rand.Uint64N(firstNumbers))
 	serving := config.Broker
 	serving.Decide = d.decided
 	serving.Serve = func(service string) bool { return config.View().Brokers[service] == config.Self }
--- a/internal/process/permits/desk_test.go
+++ b/internal/process/permits/desk_test.go
@@ -60,20 +60,28 @@
 	n := &network{desks: map[string]*permits.Desk{}, cut: map[string]bool{}}
 	shared := view()
 	for _, vm := range vms {
-		n.desks[vm] = permits.New(permits.Config{
-			Self: vm, Sender: sender{n, vm}, View: func() *fleet.View { return shared },
-			Broker: admission.Config{Budget: admission.Budget{Ratio: 0.2, Allowance: 10}, ColdFactor: 1.5},
-			Hears: func(string) bool {
-				n.mu.Lock()
-				defer n.mu.Unlock()
-				return !n.cut["broker"]
-			},
-		})
-		n.desks[vm].Update(shared)
+		n.start(vm, shared)
 	}
 	return n
 }
 
+// start starts the desk of a VM, in the place of the former one if there is one.
+func (n *network) start(vm string, shared *fleet.View) {
+	desk := permits.New(permits.Config{
+		Self: vm, Sender: sender{n, vm}, View: func() *fleet.View { return shared },
+		Broker: admission.Config{Budget: admission.Budget{Ratio: 0.2, Allowance: 10}, ColdFactor: 1.5},
+		Hears: func(string) bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return !n.cut["broker"]
+		},
+	})
+	desk.Update(shared)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.desks[vm] = desk
+}
+
 func request() admission.Request {
 	now := time.Now()
 	return admission.Request{Service: "s", Class: "c", Aim: now.Add(200 * time.Millisecond), Deadline: now.Add(500 * time.Millisecond)}
@@ -155,3 +163,47 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// TestRequestOfAFormerProcessIsNotAnswered to the next process of its VM, which would send its own request to the target of another service.
+func TestRequestOfAFormerProcessIsNotAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork("broker", "a", "b")
+		shared := view()
+		shared.Config.Services = append(shared.Config.Services, fleet.Service{Name: "other"})
+		shared.Config.Index()
+		shared.Targets["u0"] = &fleet.Target{Life: fleet.Life{ID: "u0", Born: 1}, Service: "other", Slots: 1}
+		shared.Brokers["other"] = "broker"
+		for _, vm := range []string{"broker", "a", "b"} {
+			n.start(vm, shared)
+		}
+		toOther := func() admission.Request {
+			r := request()
+			r.Service = "other"
+			return r
+		}
+		held := map[string]permits.Permit{}
+		for service, r := range map[string]admission.Request{"s": request(), "other": toOther()} {
+			permit, err := n.desks["b"].Acquire(t.Context(), r)
+			assert.NilError(t, err)
+			held[service] = permit
+		}
+		// The former process waits for a target of the one service, the next one for a
+		// target of the other.
+		former, leave := context.WithCancel(t.Context())
+		defer leave()
+		go func() { _, _ = n.desks["a"].Acquire(former, request()) }()
+		time.Sleep(10 * time.Millisecond)
+		n.start("a", shared)
+		time.AfterFunc(20*time.Millisecond, func() {
+			n.desks["b"].End(held["s"], admission.Answered, time.Millisecond, fleet.Load{}, false)
+		})
+		time.AfterFunc(40*time.Millisecond, func() {
+			n.desks["b"].End(held["other"], admission.Answered, time.Millisecond, fleet.Load{}, false)
+		})
+		permit, err := n.desks["a"].Acquire(t.Context(), toOther())
+		assert.NilError(t, err)
+		assert.Equal(t, permit.Target.ID, "u0")
+		leave()
+		time.Sleep(2 * time.Second)
+	})
+}
