The stand-in of targets announces that it closes

The stand-in closed each connection after its answer without a word, so on a busy machine the next request was written before the end had arrived, and a request that may not run twice cannot be sent again. Servers on the users' platform keep connections or announce the end. The stand-in does the latter now; the answers that are spoilt on purpose still close without a word.

--- a/internal/testutil/fencetarget/fencetarget.go
+++ b/internal/testutil/fencetarget/fencetarget.go
@@ -197,6 +197,9 @@
 	defer conn.Close()
 	text := message(attempt, Body(t.ID, attempt), true)
 	switch fault {
+	case "":
+		// As servers do before they close a connection that is not idle.
+		text = strings.Replace(text, "\r\n", "\r\nConnection: close\r\n", 1)
 	case "reset":
 		reset(conn)
 		return
