Serve connections at the end of a stop that callers have just opened

A caller saw EOF or a reset instead of an answer or a refused connection: its connection was closed as idle before its request was read, or waited in the backlog of the listener when that was closed.

A stop of the callers' side now takes in what is in the backlog, closes the listener, and waits up to 500 ms for the first request of each connection. All answers of that time announce the end. 500 ms is what is left of the 3 s after SIGTERM up to which a request may be taken whose server may outlast the stop (LOST); the stop still ends within the bound that the platform gives. Connections that have had a request end at once, as before, except that a request whose first byte has been read is answered; and a request behind one that is under way is not begun to be read any more once the end has been decided, so that the last answer announces it.

What remains: a connection whose handshake ends between the last accept and the closing of the listener, two system calls, is reset.

TestShutdownWaitsForFirstRequests (unexpected EOF) and TestShutdownServesTheBacklog (connection reset) failed before.

--- a/internal/connection/caller/caller_test.go
+++ b/internal/connection/caller/caller_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -27,12 +28,18 @@
 }
 
 func start(t *testing.T, handler http.HandlerFunc) *fixture {
-	return startWith(t, handler, caller.Limits{HeaderBytes: 8 << 10, HeaderTimeout: bound, IdleTimeout: bound})
+	return startWith(t, handler, usualLimits)
 }
 
+var usualLimits = caller.Limits{HeaderBytes: 8 << 10, HeaderTimeout: bound, IdleTimeout: bound}
+
 func startWith(t *testing.T, handler http.HandlerFunc, limits caller.Limits) *fixture {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
+	return startOn(t, listener, handler, limits)
+}
+
+func startOn(t *testing.T, listener net.Listener, handler http.HandlerFunc, limits caller.Limits) *fixture {
 	f := &fixture{server: &caller.Server{Handler: handler, Limits: func() caller.Limits { return limits }}, address: listener.Addr().String()}
 	go func() { _ = f.server.Serve(listener) }()
 	t.Cleanup(f.server.Close)
@@ -256,12 +263,7 @@
 	send(t, busy, "GET /1 HTTP/1.1\nHost: h\n\nGET /2 HTTP/1.1\nHost: h\n\n")
 	<-entered
 	<-entered
-	stopped := make(chan error, 1)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), bound)
-		defer cancel()
-		stopped <- f.server.Shutdown(ctx)
-	}()
+	stopped := f.shutdown()
 	_, err := idleReader.ReadByte()
 	assert.Equal(t, err, io.EOF)
 	_ = idle.Close()
@@ -278,6 +280,104 @@
 	assert.Assert(t, err != nil)
 }
 
+// shutdown stops a server and returns the result of the stop.
+func (f *fixture) shutdown() <-chan error {
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), bound)
+		defer cancel()
+		stopped <- f.server.Shutdown(ctx)
+	}()
+	return stopped
+}
+
+// TestShutdownWaitsForFirstRequests of connections that have not had one, for a
+// bounded time; connections that have had one end at once.
+func TestShutdownWaitsForFirstRequests(t *testing.T) {
+	const wait = 300 * time.Millisecond
+	f := start(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+	f.server.FirstRequestWait = wait
+	fresh, freshReader := f.dial(t)
+	_, unusedReader := f.dial(t)
+	kept, keptReader := f.dial(t)
+	send(t, kept, "GET /1 HTTP/1.1\nHost: h\n\n")
+	receive(t, keptReader)
+	began := time.Now()
+	stopped := f.shutdown()
+	_, err := keptReader.ReadByte()
+	assert.Equal(t, err, io.EOF)
+	assert.Assert(t, time.Since(began) < wait, "a kept connection without a request has stayed open for %s", time.Since(began))
+	time.Sleep(wait / 3)
+	send(t, fresh, "GET /2 HTTP/1.1\nHost: h\n\n")
+	response, body := receive(t, freshReader)
+	assert.Equal(t, body, "/2")
+	assert.Assert(t, response.Close)
+	_, err = unusedReader.ReadByte()
+	assert.Equal(t, err, io.EOF)
+	assert.NilError(t, <-stopped)
+	assert.Assert(t, time.Since(began) >= wait, "the stop has waited for first requests for %s", time.Since(began))
+	assert.Assert(t, time.Since(began) < 2*wait+time.Second, "the stop has taken %s", time.Since(began))
+}
+
+// lateListener accepts nothing before it is told to stop: connections wait in the
+// backlog as they do while the accepting goroutine is not scheduled.
+type lateListener struct {
+	*net.TCPListener
+	once sync.Once
+	told chan struct{}
+}
+
+func (l *lateListener) tell() { l.once.Do(func() { close(l.told) }) }
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.told
+	return l.TCPListener.Accept()
+}
+
+func (l *lateListener) SetDeadline(at time.Time) error {
+	err := l.TCPListener.SetDeadline(at)
+	l.tell()
+	return err
+}
+
+func (l *lateListener) Close() error {
+	err := l.TCPListener.Close()
+	l.tell()
+	return err
+}
+
+// TestShutdownServesTheBacklog: connections that callers have opened and that are
+// not accepted yet are served, and only then others are refused.
+func TestShutdownServesTheBacklog(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f := startOn(t, &lateListener{TCPListener: listener.(*net.TCPListener), told: make(chan struct{})}, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.URL.Path)
+	}, usualLimits)
+	f.server.FirstRequestWait = bound / 2
+	// The server knows its listener.
+	time.Sleep(50 * time.Millisecond)
+	var conns []net.Conn
+	var readers []*bufio.Reader
+	for range 5 {
+		conn, reader := f.dial(t)
+		conns, readers = append(conns, conn), append(readers, reader)
+	}
+	send(t, conns[0], "GET /early HTTP/1.1\nHost: h\n\n")
+	stopped := f.shutdown()
+	_, body := receive(t, readers[0])
+	assert.Equal(t, body, "/early")
+	for i, conn := range conns[1:] {
+		send(t, conn, "GET /late HTTP/1.1\nHost: h\n\n")
+		response, body := receive(t, readers[i+1])
+		assert.Equal(t, body, "/late")
+		assert.Assert(t, response.Close)
+	}
+	assert.NilError(t, <-stopped)
+	_, err = net.DialTimeout("tcp", f.address, time.Second)
+	assert.ErrorIs(t, err, syscall.ECONNREFUSED)
+}
+
 // TestAnnouncedCloseIsKept: nothing follows an answer that announces the end.
 func TestAnnouncedCloseIsKept(t *testing.T) {
 	f := start(t, func(w http.ResponseWriter, r *http.Request) { w.Header().Set("Connection", "close") })
--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -50,6 +50,10 @@
 	// closing is set once no further request will be answered.
 	closing bool
 	closed  bool
+	// draining is set by a stop: the connection ends as soon as it has no request.
+	draining bool
+	// used is set once a request has begun.
+	used bool
 	// reading is set while a request is being read.
 	reading bool
 }
@@ -102,9 +106,9 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, errIdle
 	}
-	c.mu.Lock()
-	c.reading = true
-	c.mu.Unlock()
+	if !c.beginReading() {
+		return nil, errIdle
+	}
 	_ = c.socket.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	c.source.limit(limits.HeaderBytes)
 	request, err := http.ReadRequest(c.reader)
@@ -127,6 +131,18 @@
 	errNoHost = errors.New("the request names no host")
 )
 
+// beginReading notes that a request is being read. It reports false if none will be
+// answered any more.
+func (c *conn) beginReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	c.reading, c.used = true, true
+	return true
+}
+
 // waitIdle sets the deadline for the next request; none while answers are due.
 func (c *conn) waitIdle(limits Limits) {
 	c.mu.Lock()
@@ -142,6 +158,11 @@
 		_ = c.socket.SetReadDeadline(time.Time{})
 		return
 	}
+	if c.draining {
+		// Wakes the reader.
+		_ = c.socket.SetReadDeadline(time.Now())
+		return
+	}
 	_ = c.socket.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
 }
 
@@ -255,19 +276,21 @@
 func (c *conn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closing
+	return c.closing || c.draining
 }
 
-// closeIfIdle closes a connection without requests, and makes one with requests
-// end after their answers.
-func (c *conn) closeIfIdle() {
+// drain closes a connection without requests, and makes one with requests end
+// after their answers. If waits is set, one that has had no request stays open.
+func (c *conn) drain(waits bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reading {
-		return
-	}
-	c.closing = true
-	if c.pending == 0 {
+	switch {
+	case c.reading, waits && !c.used:
+	case c.pending > 0:
+		c.closing = true
+	default:
+		// Not closing: a request whose first byte is there already is answered.
+		c.draining = true
 		_ = c.socket.SetReadDeadline(time.Now())
 	}
 }
@@ -278,7 +301,7 @@
 func (c *conn) endWith(must, wanted bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if must || (wanted || c.closing) && c.pending == 1 && !c.reading {
+	if must || (wanted || c.closing || c.server.stopping.Load()) && c.pending == 1 && !c.reading {
 		c.closing = true
 		return true
 	}
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -40,31 +41,43 @@
 	Handler http.Handler
 	// Limits returns the limits in force; they count from the next request.
 	Limits func() Limits
+	// FirstRequestWait is how long a stop waits for the first request of a
+	// connection.
+	FirstRequestWait time.Duration
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	listener net.Listener
-	stopping bool
+	// accepted is closed once Serve accepts no more.
+	accepted chan struct{}
+	stopping atomic.Bool
 }
 
 // ErrStopped is returned by Serve after Shutdown or Close.
 var ErrStopped = errors.New("the server for callers has stopped")
 
-// Serve accepts connections until the server is stopped.
+// Serve accepts connections until the server is stopped. It is called once.
 func (s *Server) Serve(listener net.Listener) error {
+	defer listener.Close()
+	accepted := make(chan struct{})
+	defer close(accepted)
 	s.mu.Lock()
-	if s.conns == nil {
-		s.conns = map[*conn]struct{}{}
-	}
-	s.listener = listener
+	s.conns = map[*conn]struct{}{}
+	s.listener, s.accepted = listener, accepted
 	s.mu.Unlock()
+	if s.stopping.Load() {
+		return ErrStopped
+	}
 	for {
 		socket, err := listener.Accept()
 		if err == nil {
 			s.start(socket)
 			continue
 		}
-		if s.isStopping() {
+		if s.stopping.Load() {
+			for _, socket := range takeBacklog(listener) {
+				s.start(socket)
+			}
 			return ErrStopped
 		}
 		if errors.Is(err, net.ErrClosed) {
@@ -82,29 +95,27 @@
 	go c.serve()
 }
 
-func (s *Server) isStopping() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.stopping
-}
-
 func (s *Server) forget(c *conn) {
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
 }
 
-// Shutdown accepts no more connections, closes those without requests, and
-// waits until the others have got their answers or the context ends.
+// Shutdown accepts no more connections than those that callers have opened
+// already, closes those without requests, and waits until the others have got
+// their answers or the context ends. Connections without a first request have
+// FirstRequestWait for it.
 func (s *Server) Shutdown(ctx context.Context) error {
+	firstRequests := time.Now().Add(s.FirstRequestWait)
 	s.stopAccepting()
 	for {
 		open := s.open()
 		if len(open) == 0 {
 			return nil
 		}
+		waits := time.Now().Before(firstRequests)
 		for _, c := range open {
-			c.closeIfIdle()
+			c.drain(waits)
 		}
 		select {
 		case <-ctx.Done():
@@ -114,14 +125,20 @@
 	}
 }
 
+// stopAccepting ends the accepting of connections and waits until those that it
+// had to accept are known.
 func (s *Server) stopAccepting() {
+	s.stopping.Store(true)
 	s.mu.Lock()
-	s.stopping = true
-	listener := s.listener
+	listener, accepted := s.listener, s.accepted
 	s.mu.Unlock()
-	if listener != nil {
+	if listener == nil {
+		return
+	}
+	if waits, ok := listener.(interface{ SetDeadline(time.Time) error }); !ok || waits.SetDeadline(time.Now()) != nil {
 		_ = listener.Close()
 	}
+	<-accepted
 }
 
 func (s *Server) open() []*conn {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -50,6 +50,13 @@
 	// balancerNotice is how long the balancer may send new connections after
 	// this VM has stopped to be ready: two misses, a second apart.
 	balancerNotice = 2500 * time.Millisecond
+	// latestRequest is the latest time after SIGTERM at which a request may be taken
+	// whose target may still be at work when the stop has to end (LOST of the
+	// users' rules).
+	latestRequest = 3 * time.Second
+	// firstRequestWait is how long a stop waits for the first request of a
+	// connection that was opened while this VM listened.
+	firstRequestWait = latestRequest - balancerNotice
 	// stopMargin is kept free before the platform kills the process.
 	stopMargin = 400 * time.Millisecond
 	// stopPoll is the interval at which the end of work is looked for.
@@ -147,7 +154,7 @@
 		Domain: g.settings.FailureDomain, Dialect: platform.Dialect, Permits: g.desk, View: g.view.Load,
 		Pools: g.pools, Leaving: g.leaving.Load, Logger: g.logger, Metrics: g.metrics.Scope,
 	})
-	g.callers = &caller.Server{Handler: g.handler, Limits: g.callerLimits}
+	g.callers = &caller.Server{Handler: g.handler, Limits: g.callerLimits, FirstRequestWait: firstRequestWait}
 }
 
 // dial opens and closes a connection.
