Hear each refusal of another process, not the first alone

Keys of a target whose address had gone to another could be served by nobody for 3 s more. The first grant that the other process refused with 421 showed that the target had ended; the next one on the same connection, which was under way, counted as a stray answer and its grant as one that may have arrived, so that the keys waited until that would have run out.

Cause: any answer counted as a sign that the process is the one that orders name, also the refusal that says that it is not. Only other answers do now.

TestEachRefusalOfAnotherProcessIsHeard failed at the second grant and passes.

--- a/internal/connection/target/lanes.go
+++ b/internal/connection/target/lanes.go
@@ -49,9 +49,9 @@
 	turn chan struct{}
 	// connection is nil while there is none. It changes with the turn and Lanes.mu held.
 	connection *connection
-	// answered is set once an order on the connection had an answer.
-	answered bool
-	idle     *time.Timer
+	// named is set once the process has answered to the name in an order.
+	named bool
+	idle  *time.Timer
 }
 
 // taken is the connection over which a fence was granted, and when it last was.
@@ -100,15 +100,15 @@
 	}
 	defer n.release()
 	response, err := exchange(ctx, n.connection, request)
-	if err == nil && n.answered && response.StatusCode == http.StatusMisdirectedRequest {
-		// The process has taken orders that named it.
+	if err == nil && n.named && response.StatusCode == http.StatusMisdirectedRequest {
+		// The process has answered to its name before.
 		err = errCrossedAnswer
 	}
 	if err != nil {
 		l.reset(n)
 		return 0, nil, err
 	}
-	n.answered = true
+	n.named = n.named || response.StatusCode != http.StatusMisdirectedRequest
 	if response.Close || !n.connection.quiet() {
 		l.reset(n)
 		return response.StatusCode, response.Header, nil
@@ -234,7 +234,7 @@
 	}
 	connection.socket.dropUndelivered()
 	l.mu.Lock()
-	n.connection, n.answered = connection, false
+	n.connection, n.named = connection, false
 	l.mu.Unlock()
 	return nil
 }
--- a/internal/connection/target/lanes_test.go
+++ b/internal/connection/target/lanes_test.go
@@ -122,6 +122,22 @@
 	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "the connection ended with: %v", err)
 }
 
+// TestEachRefusalOfAnotherProcessIsHeard: one that counts as lost lets the keys of the former process wait for a grant's length.
+func TestEachRefusalOfAnotherProcessIsHeard(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	}))
+	defer server.Close()
+	lanes := target.NewLanes(server.Listener.Addr().String(), time.Second)
+	for fence := range uint64(3) {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/grant", strings.NewReader("{}"))
+		assert.NilError(t, err)
+		status, _, err := lanes.Do(t.Context(), request, fence, false)
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusMisdirectedRequest)
+	}
+}
+
 func TestSilentOrderHoldsUpNoOther(t *testing.T) {
 	g := newGrantor(t)
 	lanes := target.NewLanes(g.address(), time.Second)
