Take no reply to a former process of the VM for that to a call

A witness's word about one port could count for another, or an old word on the leader for the present one: the number of a call began at 1 in each process, replies are sent by the VM's name and wait while it is away, and whatever reply had the number of a waiting call ended it. A VM would have to restart and make a call with the same number before the reply arrives; this was not seen.

As for permits, numbers begin at random now.

--- a/internal/connection/peer/control.go
+++ b/internal/connection/peer/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 
@@ -93,8 +94,13 @@
 	return nil
 }
 
+// firstCalls is the number of call numbers from which a process draws its first: too
+// many for two processes of a VM to meet, in few bytes.
+const firstCalls = 1 << 48
+
 // calls holds the control calls that wait for a reply, by call number. Numbers
-// are unique per process, so a reply finds its call on whatever session it comes.
+// are those of one process, so a reply finds its call on whatever session it comes,
+// and one to a former process of this VM finds none.
 type calls struct {
 	mu      sync.Mutex
 	last    uint64
@@ -111,7 +117,9 @@
 	err   error
 }
 
-func newCalls() *calls { return &calls{waiting: make(map[uint64]*controlCall)} }
+func newCalls() *calls {
+	return &calls{last: rand.Uint64N(firstCalls), waiting: make(map[uint64]*controlCall)}
+}
 
 // begin numbers a new call to a peer.
 func (c *calls) begin(vm string) (uint64, *controlCall) {
