Let only the store answer for a leader that a target shows another one

Two targets held the same keys where a VM that was cut off from the others was the only one that reached the store: it became the leader, forgot the others after 4 s, took itself for all, and gave a target's keys away once the others' authority and grants would have run out; but the leader on the other side had a majority, and renewed them on and on.

Cause: a majority says that nobody leads among those that follow, not that nobody leads. The refusal of a fence just given out proves that the record has another leader. After one, the former leader now acts only once the store has confirmed it, which it does not; its grants run out before the new leader's wait is over.

--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -372,6 +372,33 @@
 	})
 }
 
+// TestLeaderWithoutTheStoreIsNotTakenForGone: a VM that is cut off from the others and alone reaches the store must not give away the keys of a target that the leader renews.
+func TestLeaderWithoutTheStoreIsNotTakenForGone(t *testing.T) {
+	run(t, seed.Value, 4, 5, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		time.Sleep(2 * time.Second)
+		leader, _ := w.leader()
+		alone := ""
+		for _, name := range everybody(4, 0) {
+			if name != leader && domainOf(name) != domainOf("t2") {
+				alone = name
+			}
+		}
+		for _, name := range everybody(4, 0) {
+			if name == alone {
+				continue
+			}
+			w.cutFor(25*time.Second, name+">store")
+			w.cutFor(25*time.Second, name+">"+alone)
+			w.cutFor(25*time.Second, alone+">"+name)
+		}
+		w.cutFor(25*time.Second, alone+">t2")
+		time.Sleep(8 * time.Second)
+		w.leaveTarget("t2")
+		time.Sleep(16 * time.Second)
+	})
+}
+
 // TestBudgetOutlivesItsLeader: a new leader knows how many repeats the former one
 // had let run, so that a budget is not spent twice.
 func TestBudgetOutlivesItsLeader(t *testing.T) {
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -259,7 +259,7 @@
 	case fault.Is(err, fault.Conflict):
 		k.failed(t, now)
 		if k.isOutdone(t) {
-			c.lead.doubt(c.config.Uptime())
+			c.lead.outdone(c.config.Uptime())
 		}
 		higher = k.conflicted(t, now)
 		changed = higher != 0
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -52,9 +52,11 @@
 	// confirmedMembers is the number of other VMs at that time.
 	confirmedMembers int
 	touchAt          time.Time
-	// tickedAt and doubtedAt are the uptimes of the last tick and of the last time at
-	// which it came into doubt that this VM still leads.
-	tickedAt, doubtedAt time.Duration
+	// tickedAt and stalledAt are the uptimes of the last tick and of the last
+	// tick that came much too late.
+	tickedAt, stalledAt time.Duration
+	// outdoneAt is the uptime at which a target last showed the fence of a later leader.
+	outdoneAt time.Duration
 	// since is when the leadership began.
 	since time.Time
 	// superseded is set once no former leader can act any more.
--- a/internal/process/coordinator/record.go
+++ b/internal/process/coordinator/record.go
@@ -16,27 +16,32 @@
 	l := c.lead
 	now := c.config.Uptime()
 	if l.tickedAt != 0 && now-l.tickedAt > stall {
-		l.doubt(now)
+		l.stalledAt = now
+		l.touchAt = time.Time{}
 		events.LeaderStalled.Log(c.config.Logger).Uint64("term", l.record.Term).Dur("stopped", now-l.tickedAt).Send()
 	}
 	l.tickedAt = now
 }
 
-// doubt keeps this VM from sending orders until it has heard anew that it leads.
-func (l *leadership) doubt(now time.Duration) {
-	l.doubtedAt = now
+// outdone notes that a target has seen the fence of a later leader. VMs that follow
+// this one may not know of that leader, so only the store can say otherwise.
+func (l *leadership) outdone(now time.Duration) {
+	l.outdoneAt = now
 	l.touchAt = time.Time{}
 }
 
 // mayAct reports whether this VM is known to lead: the store or a majority of
-// the VMs has said so lately, and since it last was in doubt.
+// the VMs has said so lately, and since it was last stopped.
 func (c *Coordinator) mayAct() bool {
 	l := c.lead
 	now := c.config.Uptime()
-	if now-l.tickedAt > stall || l.doubtedAt != 0 && now-l.doubtedAt < afterStall {
+	if now-l.tickedAt > stall || l.stalledAt != 0 && now-l.stalledAt < afterStall {
 		return false
 	}
-	return now-l.confirmedAt < authority && l.confirmedAt >= l.doubtedAt || c.majority()
+	if l.outdoneAt != 0 && l.confirmedAt < l.outdoneAt {
+		return false
+	}
+	return now-l.confirmedAt < authority && l.confirmedAt >= l.stalledAt || c.majority()
 }
 
 // majority reports whether most VMs follow this one. A VM follows one leader at
@@ -46,7 +51,7 @@
 	now := c.config.Uptime()
 	following := 1
 	for _, m := range l.members {
-		if m.term == l.record.Term && now-m.followedAt < authority && m.followedAt >= l.doubtedAt+afterStall/2 {
+		if m.term == l.record.Term && now-m.followedAt < authority && m.followedAt >= l.stalledAt+afterStall/2 {
 			following++
 		}
 	}
