--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -262,6 +262,9 @@
 		k.failed(t, now)
 	case fault.Is(err, fault.Conflict):
 		k.failed(t, now)
+		if k.isOutdone(t) {
+			c.lead.outdone(c.config.Uptime())
+		}
 		higher = k.conflicted(t, now, c.config.Uptime())
 		changed = higher != 0
 	default:
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -58,6 +58,8 @@
 	// tickedAt and stalledAt are the uptimes of the last tick and of the last
 	// tick that came much too late.
 	tickedAt, stalledAt time.Duration
+	// outdoneAt is the uptime at which a target last showed the fence of a later leader.
+	outdoneAt time.Duration
 	// since is when the leadership began.
 	since time.Time
 	// superseded is set once no former leader can act any more.
--- a/internal/process/coordinator/record.go
+++ b/internal/process/coordinator/record.go
@@ -24,6 +24,13 @@
 	l.tickedAt = now
 }
 
+// outdone notes that a target has seen the fence of a later leader. VMs that follow
+// this one may not know of that leader, so only the store can say otherwise.
+func (l *leadership) outdone(now time.Duration) {
+	l.outdoneAt = now
+	l.touchAt = time.Time{}
+}
+
 // mayAct reports whether this VM is known to lead: the store or a majority of
 // the VMs has said so lately, and since it was last stopped.
 func (c *Coordinator) mayAct() bool {
@@ -32,6 +39,9 @@
 	if now-l.tickedAt > stall || l.stalledAt != 0 && now-l.stalledAt < afterStall {
 		return false
 	}
+	if l.outdoneAt != 0 && l.confirmedAt < l.outdoneAt {
+		return false
+	}
 	return now-l.confirmedAt < authority && l.confirmedAt >= l.stalledAt || c.majority()
 }
 
