Discard an answer that names two requests

A target whose answer named the request and another one, in two headers, had it taken for the answer to whichever stood first. Whether the request ran, and whose answer it is, is not known then.

All ids of an answer now have to be the request's. TestAnswerThatNamesTwoRequestsIsNone failed before for the request named first.

--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -143,7 +144,7 @@
 			return nil, err
 		}
 		form := r.pool.form
-		own := response.Header.Get(form.RequestIDHeader) == r.requestID
+		own := r.owns(response)
 		skips := form.SkipStray && r.method != http.MethodHead && skipped < maxStray
 		if own || !skips || !hasLength(response, r.method) {
 			return response, nil
@@ -158,12 +159,21 @@
 	}
 }
 
+// owns reports whether an answer names this request and no other.
+func (r *exchangeRun) owns(response *http.Response) bool {
+	ids := response.Header.Values(r.pool.form.RequestIDHeader)
+	if len(ids) == 0 {
+		return r.requestID == ""
+	}
+	return !slices.ContainsFunc(ids, func(id string) bool { return id != r.requestID })
+}
+
 // check accepts only an answer to this request with a definite length.
 func (r *exchangeRun) check(response *http.Response) (Defect, error) {
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return Malformed, errUnexpectedSwitch
 	}
-	if response.Header.Get(r.pool.form.RequestIDHeader) != r.requestID {
+	if !r.owns(response) {
 		return Crossed, errCrossedAnswer
 	}
 	if !r.pool.form.Unframed && !hasLength(response, r.method) {
--- a/internal/connection/target/stray_test.go
+++ b/internal/connection/target/stray_test.go
@@ -94,3 +94,15 @@
 	_, _, err := exchangeOnce(testContext(t), t, pool, request)
 	handedWithoutAnswer(t, err)
 }
+
+// TestAnswerThatNamesTwoRequestsIsNone: which of them it is for is not known.
+func TestAnswerThatNamesTwoRequestsIsNone(t *testing.T) {
+	for _, ids := range [][2]string{{"a", "x"}, {"x", "a"}} {
+		pool := strayPool(t, func(socket *net.TCPConn) {
+			_, _ = readRequest(bufio.NewReader(socket))
+			_, _ = io.WriteString(socket, head(ids[0], target.HeaderRequestID+": "+ids[1], "Content-Length: 1\r\n\r\nb"))
+		})
+		_, _, err := exchangeOnce(testContext(t), t, pool, newRequest("a", "", ""))
+		handedWithoutAnswer(t, err)
+	}
+}
