Discard answers whose framing net/http passes over

A target's answer that broke off inside its body could reach the caller as a 200 with a part of the body, framed as whole: one of HTTP/1.0 in chunks, and one with a space before the colon of Content-Length or Transfer-Encoding.

net/http drops Transfer-Encoding from HTTP/1.0 answers and does not recognise a header with a space in its name. What is left has no length, and such an answer is whole when its connection closes in order, wherever that is. RFC 9112 calls the first faulty framing (6.1) and wants the space removed or the message rejected (5.1).

The lines of an HTTP/1.0 head are now looked at before net/http reads them, and a name with a space makes the head no answer, as does an HTTP version other than 1. HTTP/1.0 answers with a length or without one stay good; their connection is not used again.

TestBodyWhoseFramingIsNotReadIsNoAnswer failed in all five cases before.

--- a/internal/connection/target/cut_test.go
+++ b/internal/connection/target/cut_test.go
@@ -59,3 +59,43 @@
 		})
 	}
 }
+
+// TestBodyWhoseFramingIsNotReadIsNoAnswer: it would look whole wherever it is cut.
+func TestBodyWhoseFramingIsNotReadIsNoAnswer(t *testing.T) {
+	id := target.HeaderRequestID + ": a\r\n"
+	for name, text := range map[string]string{
+		"chunks of HTTP/1.0":    "HTTP/1.0 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n\r\nc\r\ntwel",
+		"lower case":            "HTTP/1.0 200 OK\r\n" + id + "transfer-encoding:chunked\r\n\r\nc\r\ntwel",
+		"space after length":    "HTTP/1.1 200 OK\r\n" + id + "Content-Length : 12\r\n\r\ntwel",
+		"space after encoding":  "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding : chunked\r\n\r\nc\r\ntwel",
+		"another major version": "HTTP/2.0 200 OK\r\n" + id + "Content-Length: 4\r\n\r\ntwel",
+	} {
+		t.Run(name, func(t *testing.T) {
+			pool := strayPool(t, func(socket *net.TCPConn) {
+				_, _ = readRequest(bufio.NewReader(socket))
+				_, _ = io.WriteString(socket, text)
+			})
+			_, _, err := exchangeOnce(testContext(t), t, pool, newRequest("a", "", ""))
+			handedWithoutAnswer(t, err)
+		})
+	}
+}
+
+// TestAnswerOfHTTP10IsWhole with a length or at the end of its connection, which is
+// not used again.
+func TestAnswerOfHTTP10IsWhole(t *testing.T) {
+	for _, header := range []string{"Content-Length: 12\r\nConnection: keep-alive\r\n", ""} {
+		connections := make(chan struct{}, 4)
+		pool := strayPool(t, func(socket *net.TCPConn) {
+			connections <- struct{}{}
+			id, _ := readRequest(bufio.NewReader(socket))
+			_, _ = io.WriteString(socket, "HTTP/1.0 200 OK\r\n"+target.HeaderRequestID+": "+id+"\r\n"+header+"\r\ntwelve bytes")
+		})
+		for range 2 {
+			_, body, err := exchangeOnce(testContext(t), t, pool, newRequest("a", "", ""))
+			assert.NilError(t, err)
+			assert.Equal(t, body, "twelve bytes")
+		}
+		assert.Equal(t, len(connections), 2)
+	}
+}
--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -68,16 +68,12 @@
 	// More than the largest answers that are held back costs more time than the
 	// request is worth.
 	maxStrayBody = 1 << 20
-	// maxStatus is the highest status code (RFC 9110, 15).
-	maxStatus = 599
 )
 
 var (
 	errIncompleteAnswer = errors.New("answer has no definite length")
 	errCrossedAnswer    = errors.New("answer names another request")
 	errUnexpectedSwitch = errors.New("target switched protocols")
-	errNoStatus         = errors.New("the status of the answer is outside 100 to 599")
-	errTwoHeads         = errors.New("the head of the answer holds the beginning of another")
 )
 
 // Do sends the request and returns the head of the answer. The end of the
@@ -236,15 +232,12 @@
 	c.source.left = maxHead
 	defer func() { c.source.left = math.MaxInt64 }()
 	for {
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readResponse(request)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
-			return nil, errNoStatus
-		}
-		if !oneHead(response) {
-			return nil, errTwoHeads
+		if err := checkHead(response); err != nil {
+			return nil, err
 		}
 		informational := response.StatusCode >= 100 && response.StatusCode < 200
 		if !informational || response.StatusCode == http.StatusSwitchingProtocols {
