Read no request behind the one that its caller called the last

A caller that said Connection: close with a request and sent another behind it got an answer to both, the second one behind the answer that ends the connection. The second one ran although it was never to be read.

The connection was marked as ending when the answer was written, while the next request had been read and started beside it. It is now marked when the request is read: bytes behind it wait for its answer and go with the connection (RFC 9112, 9.6). The same holds behind a request of HTTP/1.0, whose answer always ends the connection. A caller that leaves is noticed as before, as long as it sends nothing more.

TestNothingRunsBehindTheLastRequest failed before (a second answer came).

--- a/internal/connection/caller/caller_test.go
+++ b/internal/connection/caller/caller_test.go
@@ -288,3 +288,19 @@
 	_, err := reader.ReadByte()
 	assert.Equal(t, err, io.EOF)
 }
+
+// TestNothingRunsBehindTheLastRequest of a connection, as its caller has named it.
+func TestNothingRunsBehindTheLastRequest(t *testing.T) {
+	var runs atomic.Int32
+	f := start(t, func(_ http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		time.Sleep(20 * time.Millisecond)
+	})
+	conn, reader := f.dial(t)
+	send(t, conn, "GET /1 HTTP/1.1\nHost: h\nConnection: close\n\nGET /2 HTTP/1.1\nHost: h\n\n")
+	response, _ := receive(t, reader)
+	assert.Assert(t, response.Close)
+	_, err := reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, runs.Load(), int32(1))
+}
--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -52,6 +52,9 @@
 	closed  bool
 	// reading is set while a request is being read.
 	reading bool
+
+	// last is set by the reading goroutine once it has read the last request.
+	last bool
 }
 
 func newConn(s *Server, socket net.Conn) *conn {
@@ -102,6 +105,9 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, errIdle
 	}
+	if c.last {
+		return nil, errLast
+	}
 	c.mu.Lock()
 	c.reading = true
 	c.mu.Unlock()
@@ -116,6 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.last = request.Close || !request.ProtoAtLeast(1, 1)
 	if request.Host == "" && request.ProtoAtLeast(1, 1) {
 		return nil, errNoHost
 	}
@@ -124,6 +131,7 @@
 
 var (
 	errIdle   = errors.New("the connection ended between requests")
+	errLast   = errors.New("the request before was to be the last")
 	errNoHost = errors.New("the request names no host")
 )
 
@@ -236,6 +244,10 @@
 		// The caller has left: what it asked for is not wanted any more.
 		c.abort()
 		return
+	case errors.Is(err, errLast):
+		<-turn
+		c.finish()
+		return
 	case errors.Is(err, errHeadTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	default:
