Refuse requests whose framing net/http passes over

A server could run a request that no caller had sent: one that stood inside the body of another (UNASKED), if that one had a space before the colon of Content-Length or Transfer-Encoding.

http.ReadRequest takes such a name for another header, so the request has no body and the bytes of its body are read as the next one; net/http's own server rejects these names afterwards, the project's does not use it. It also drops Transfer-Encoding from requests of HTTP/1.0, whose body would have been lost.

Both are answered 400 now and the connection ends: names with a space, and HTTP/1.0 requests other than GET and HEAD without a length (RFC 9112, 5.1 and 6.1).

--- a/internal/connection/caller/caller_test.go
+++ b/internal/connection/caller/caller_test.go
@@ -289,6 +289,30 @@
 	assert.Equal(t, err, io.EOF)
 }
 
+// TestBodyWhoseFramingIsNotReadIsNoRequest: it would run as one that nobody sent.
+func TestBodyWhoseFramingIsNotReadIsNoRequest(t *testing.T) {
+	smuggled := "GET /smuggled HTTP/1.1\nHost: h\n\n"
+	for name, head := range map[string]string{
+		"space after length":   fmt.Sprintf("POST /1 HTTP/1.1\nHost: h\nContent-Length : %d\n\n", len(smuggled)+3),
+		"space after encoding": "POST /1 HTTP/1.1\nHost: h\nTransfer-Encoding : chunked\n\n",
+		"chunks of HTTP/1.0":   "POST /1 HTTP/1.0\nHost: h\nConnection: keep-alive\nTransfer-Encoding: chunked\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int32
+			f := start(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/smuggled" {
+					runs.Add(1)
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+			})
+			conn, reader := f.dial(t)
+			send(t, conn, head+smuggled)
+			_, _ = io.Copy(io.Discard, reader)
+			assert.Equal(t, runs.Load(), int32(0))
+		})
+	}
+}
+
 // TestNothingRunsBehindTheLastRequest of a connection, as its caller has named it.
 func TestNothingRunsBehindTheLastRequest(t *testing.T) {
 	var runs atomic.Int32
--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -123,16 +124,35 @@
 		return nil, err
 	}
 	c.last = request.Close || !request.ProtoAtLeast(1, 1)
-	if request.Host == "" && request.ProtoAtLeast(1, 1) {
-		return nil, errNoHost
+	return request, checkHead(request)
+}
+
+// checkHead rejects heads that net/http reads although the end of the body cannot be
+// told: what follows would run as a request of its own.
+func checkHead(request *http.Request) error {
+	for name := range request.Header {
+		if strings.Contains(name, " ") {
+			return errName
+		}
+	}
+	switch {
+	case request.ProtoAtLeast(1, 1):
+		if request.Host == "" {
+			return errNoHost
+		}
+	case !safe(request.Method) && request.Header.Get("Content-Length") == "":
+		// net/http drops the encoding of an HTTP/1.0 body.
+		return errNoLength
 	}
-	return request, nil
+	return nil
 }
 
 var (
-	errIdle   = errors.New("the connection ended between requests")
-	errLast   = errors.New("the request before was to be the last")
-	errNoHost = errors.New("the request names no host")
+	errIdle     = errors.New("the connection ended between requests")
+	errLast     = errors.New("the request before was to be the last")
+	errNoHost   = errors.New("the request names no host")
+	errName     = errors.New("the request has a header with a space in its name")
+	errNoLength = errors.New("the request of HTTP/1.0 has no length")
 )
 
 // waitIdle sets the deadline for the next request; none while answers are due.
