--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -56,6 +57,9 @@
 	used bool
 	// reading is set while a request is being read.
 	reading bool
+
+	// last is set by the reading goroutine once it has read the last request.
+	last bool
 }
 
 func newConn(s *Server, socket net.Conn) *conn {
@@ -106,6 +110,9 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, errIdle
 	}
+	if c.last {
+		return nil, errLast
+	}
 	if !c.beginReading() {
 		return nil, errIdle
 	}
@@ -120,15 +127,36 @@
 	if err != nil {
 		return nil, err
 	}
-	if request.Host == "" && request.ProtoAtLeast(1, 1) {
-		return nil, errNoHost
+	c.last = request.Close || !request.ProtoAtLeast(1, 1)
+	return request, checkHead(request)
+}
+
+// checkHead rejects heads that net/http reads although the end of the body cannot be
+// told: what follows would run as a request of its own.
+func checkHead(request *http.Request) error {
+	for name := range request.Header {
+		if strings.Contains(name, " ") {
+			return errName
+		}
+	}
+	switch {
+	case request.ProtoAtLeast(1, 1):
+		if request.Host == "" {
+			return errNoHost
+		}
+	case !safe(request.Method) && request.Header.Get("Content-Length") == "":
+		// net/http drops the encoding of an HTTP/1.0 body.
+		return errNoLength
 	}
-	return request, nil
+	return nil
 }
 
 var (
-	errIdle   = errors.New("the connection ended between requests")
-	errNoHost = errors.New("the request names no host")
+	errIdle     = errors.New("the connection ended between requests")
+	errLast     = errors.New("the request before was to be the last")
+	errNoHost   = errors.New("the request names no host")
+	errName     = errors.New("the request has a header with a space in its name")
+	errNoLength = errors.New("the request of HTTP/1.0 has no length")
 )
 
 // beginReading notes that a request is being read. It reports false if none will be
@@ -257,6 +285,10 @@
 		// The caller has left: what it asked for is not wanted any more.
 		c.abort()
 		return
+	case errors.Is(err, errLast):
+		<-turn
+		c.finish()
+		return
 	case errors.Is(err, errHeadTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	default:
--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -67,16 +68,12 @@
 	// More than the largest answers that are held back costs more time than the
 	// request is worth.
 	maxStrayBody = 1 << 20
-	// maxStatus is the highest status code (RFC 9110, 15).
-	maxStatus = 599
 )
 
 var (
 	errIncompleteAnswer = errors.New("answer has no definite length")
 	errCrossedAnswer    = errors.New("answer names another request")
 	errUnexpectedSwitch = errors.New("target switched protocols")
-	errNoStatus         = errors.New("the status of the answer is outside 100 to 599")
-	errTwoHeads         = errors.New("the head of the answer holds the beginning of another")
 )
 
 // Do sends the request and returns the head of the answer. The end of the
@@ -143,7 +140,7 @@
 			return nil, err
 		}
 		form := r.pool.form
-		own := response.Header.Get(form.RequestIDHeader) == r.requestID
+		own := r.owns(response)
 		skips := form.SkipStray && r.method != http.MethodHead && skipped < maxStray
 		if own || !skips || !hasLength(response, r.method) {
 			return response, nil
@@ -158,12 +155,21 @@
 	}
 }
 
+// owns reports whether an answer names this request and no other.
+func (r *exchangeRun) owns(response *http.Response) bool {
+	ids := response.Header.Values(r.pool.form.RequestIDHeader)
+	if len(ids) == 0 {
+		return r.requestID == ""
+	}
+	return !slices.ContainsFunc(ids, func(id string) bool { return id != r.requestID })
+}
+
 // check accepts only an answer to this request with a definite length.
 func (r *exchangeRun) check(response *http.Response) (Defect, error) {
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return Malformed, errUnexpectedSwitch
 	}
-	if response.Header.Get(r.pool.form.RequestIDHeader) != r.requestID {
+	if !r.owns(response) {
 		return Crossed, errCrossedAnswer
 	}
 	if !r.pool.form.Unframed && !hasLength(response, r.method) {
@@ -226,15 +232,12 @@
 	c.source.left = maxHead
 	defer func() { c.source.left = math.MaxInt64 }()
 	for {
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readResponse(request)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
-			return nil, errNoStatus
-		}
-		if !oneHead(response) {
-			return nil, errTwoHeads
+		if err := checkHead(response); err != nil {
+			return nil, err
 		}
 		informational := response.StatusCode >= 100 && response.StatusCode < 200
 		if !informational || response.StatusCode == http.StatusSwitchingProtocols {
