Soak: addresses change hands, and fences are compared across processes

Beside the other faults the servers at three addresses now fall silent or end, some of them at a time and again and again, and within 3 s, a grant's length, another server or a new life of the same one starts there. What was opened or sent while an address was silent reaches the next server, as on a network; the entry of the former one goes after three heartbeats.

The check of fences looks at all grants that any server took and asks that each is above those of all other processes before it. The stand-in refuses orders that name another target with 421, as the users' servers do. The soak also reports daemons that have ended by themselves, with their exit status.

--- a/internal/testutil/deployment/deployment.go
+++ b/internal/testutil/deployment/deployment.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,6 +68,8 @@
 	Service string
 	Born    int64
 	server  *httptest.Server
+	// ended is set once its process holds nothing any more.
+	ended atomic.Bool
 }
 
 // New starts the store and writes the first configuration.
@@ -109,19 +112,36 @@
 	}, nil)
 }
 
-// AddTarget starts a server and registers it.
+// AddTarget starts a server at an address of its own and registers it.
 func (d *Deployment) AddTarget(id, service string, settings fencetarget.Settings) *Target {
+	t := d.startTarget(id, service, settings)
+	t.Link = d.proxy.Link(fmt.Sprintf("%s-%d", id, t.Born), strings.TrimPrefix(t.server.URL, "http://"))
+	d.enter(t)
+	return t
+}
+
+func (d *Deployment) startTarget(id, service string, settings fencetarget.Settings) *Target {
 	settings.ID, settings.Keyed = id, service == "keyed"
 	t := &Target{Target: fencetarget.New(settings), Service: service, Born: time.Now().UnixMilli()}
 	t.server = httptest.NewServer(t.Target)
 	d.t.Cleanup(t.server.Close)
 	d.t.Cleanup(t.server.CloseClientConnections)
-	t.Link = d.proxy.Link(fmt.Sprintf("%s-%d", id, t.Born), strings.TrimPrefix(t.server.URL, "http://"))
+	return t
+}
+
+// enter makes a server known and registers it.
+func (d *Deployment) enter(t *Target) {
 	d.mu.Lock()
-	d.targets[id] = t
+	d.targets[t.ID] = t
 	d.mu.Unlock()
-	d.Register(id, "in_service")
-	return t
+	d.Register(t.ID, "in_service")
+}
+
+// end ends the server's process.
+func (t *Target) end() {
+	t.ended.Store(true)
+	_ = t.server.Listener.Close()
+	t.server.CloseClientConnections()
 }
 
 // Target returns a server by its id.
@@ -144,7 +164,7 @@
 func (d *Deployment) EndTarget(id string) {
 	t := d.Target(id)
 	t.Link.Break()
-	t.server.CloseClientConnections()
+	t.end()
 }
 
 // RestartTarget ends a server and starts it again under its id: a new life at
@@ -239,7 +259,7 @@
 	defer d.mu.Unlock()
 	holders := 0
 	for _, t := range d.targets {
-		if t.Service == "keyed" && t.Holds(key) {
+		if t.Service == "keyed" && !t.ended.Load() && t.Holds(key) {
 			holders++
 		}
 	}
--- a/internal/testutil/fencetarget/fencetarget.go
+++ b/internal/testutil/fencetarget/fencetarget.go
@@ -47,6 +47,7 @@
 	running int
 	runs    []Run
 	grants  []grant
+	takes   []Take
 }
 
 type grant struct {
@@ -55,6 +56,13 @@
 	until       time.Time
 }
 
+// Take is a grant that a target has taken.
+type Take struct {
+	First, Last int
+	Fence       uint64
+	At          time.Time
+}
+
 // New returns a target.
 func New(settings Settings) *Target { return &Target{Settings: settings} }
 
@@ -65,6 +73,13 @@
 	return append([]Run(nil), t.runs...)
 }
 
+// Takes returns the grants that the target has taken.
+func (t *Target) Takes() []Take {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Take(nil), t.takes...)
+}
+
 // Holds reports whether the target holds a key now.
 func (t *Target) Holds(key int) bool {
 	t.mu.Lock()
@@ -102,6 +117,10 @@
 }
 
 func (t *Target) order(w http.ResponseWriter, r *http.Request) {
+	if t.isForAnother(r) {
+		t.refuse(w, r, http.StatusMisdirectedRequest)
+		return
+	}
 	var body orderBody
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -125,12 +144,14 @@
 			return
 		}
 	}
-	t.grants = append(t.grants, grant{body.StartKey, body.Target, body.Fence, time.Now().Add(hold)})
+	now := time.Now()
+	t.grants = append(t.grants, grant{body.StartKey, body.Target, body.Fence, now.Add(hold)})
+	t.takes = append(t.takes, Take{body.StartKey, body.Target, body.Fence, now})
 }
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
-	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != t.ID {
+	if t.isForAnother(r) {
 		t.refuse(w, r, http.StatusMisdirectedRequest)
 		return
 	}
@@ -152,6 +173,12 @@
 	t.answer(w, r, fault)
 }
 
+// isForAnother reports whether a request or order names another target.
+func (t *Target) isForAnother(r *http.Request) bool {
+	expected := r.Header.Get("Expected-Instance")
+	return expected != "" && expected != t.ID
+}
+
 // begin starts a request, or returns the status with which it is refused.
 func (t *Target) begin(r *http.Request, key int, body, fault string) int {
 	t.mu.Lock()
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -45,6 +46,12 @@
 	// recoverBound is the time after the last fault within which everything is
 	// served again.
 	recoverBound = 15 * time.Second
+	// places are the addresses at which one server after the other runs; they may stay
+	// silent or empty for up to emptyBound, the length of a grant (3 s).
+	places     = 3
+	emptyBound = 3 * time.Second
+	// entryBound is how long the entry of a server outlasts it: three heartbeats.
+	entryBound = 2610 * time.Millisecond
 	// ownerBound is the longest time for which two live servers may hold a key.
 	ownerBound = 500 * time.Millisecond
 )
@@ -96,6 +103,12 @@
 		r.addServer(fmt.Sprintf("free-%d", i), "free")
 		r.addServer(fmt.Sprintf("keyed-%d", i), "keyed")
 	}
+	var moved []*deployment.Place
+	for i := range places {
+		id := fmt.Sprintf("moved-%d", i)
+		moved = append(moved, r.d.NewPlace(id))
+		r.keep(r.d.AddTargetAt(moved[i], id, "keyed", usualServer))
+	}
 	for range vms {
 		r.d.AddVM()
 	}
@@ -106,16 +119,21 @@
 		}
 	}
 	r.done.Go(r.watchOwners)
+	calm := make(chan struct{})
+	r.done.Go(func() { r.changeHands(rand.New(rand.NewPCG(seed, 4)), moved, calm) })
 	for range *faults {
 		r.fault()
 		time.Sleep(time.Duration(100+r.random.IntN(1200)) * time.Millisecond)
 	}
+	close(calm)
 	r.heal()
 	r.checkRecovery()
+	r.checkProcesses()
 	close(r.stop)
 	r.done.Wait()
 	r.checkResults()
 	r.checkDrains()
+	r.checkFences()
 }
 
 var usualServer = fencetarget.Settings{Work: 15 * time.Millisecond, Slots: 4}
@@ -271,6 +289,90 @@
 	}
 }
 
+// changeHands ends the servers of some places at a time, until it is calm, and starts
+// others there within a grant's length: under another id, or under the same one.
+func (r *run) changeHands(random *rand.Rand, places []*deployment.Place, calm <-chan struct{}) {
+	lives := 0
+	for {
+		select {
+		case <-calm:
+			return
+		case <-time.After(time.Duration(random.IntN(1500)) * time.Millisecond):
+		}
+		var round sync.WaitGroup
+		for i, place := range places {
+			if random.IntN(2) == 0 {
+				continue
+			}
+			id, silent := place.Server().ID, random.IntN(4) > 0
+			next, empty := id, time.Duration(random.Int64N(int64(emptyBound)))
+			if random.IntN(3) > 0 {
+				lives++
+				next = fmt.Sprintf("moved-%d-%d", i, lives)
+			}
+			r.log("place %d: %s ends, silent %v; after %s %s starts", i, id, silent, empty, next)
+			round.Go(func() {
+				end, start := place.End, place.Reopen
+				if silent {
+					end, start = place.Silence, func() {}
+				}
+				end()
+				if next != id {
+					r.after(entryBound, func() { r.d.Store.Remove("servers", id) })
+				}
+				time.Sleep(empty)
+				r.keep(r.d.AddTargetAt(place, next, "keyed", usualServer))
+				start()
+			})
+		}
+		round.Wait()
+	}
+}
+
+// checkProcesses looks for daemons that have ended by themselves.
+func (r *run) checkProcesses() {
+	for _, vm := range r.d.VMs {
+		if how := vm.Ended(); how != "" {
+			r.t.Errorf("%s has ended: %s", vm.Name, how)
+		}
+	}
+}
+
+// checkFences looks for keys that a server took with a fence that is not above those
+// of all other servers before it, those at other addresses and of former lives included.
+func (r *run) checkFences() {
+	type take struct {
+		fencetarget.Take
+		by *deployment.Target
+	}
+	var takes []take
+	for _, server := range r.all {
+		for _, one := range server.Takes() {
+			takes = append(takes, take{one, server})
+		}
+	}
+	slices.SortFunc(takes, func(a, b take) int { return a.At.Compare(b.At) })
+	highest := map[int]map[*deployment.Target]uint64{}
+	for _, one := range takes {
+		for key := 0; key < 65536; key += deployment.KeyStep {
+			if key < one.First || key > one.Last || r.justThawed(one.At) {
+				continue
+			}
+			for other, fence := range highest[key] {
+				if other != one.by && fence >= one.Fence {
+					r.t.Errorf("%.3f s: %s took key %d with fence %d, which %s had with %d",
+						one.At.Sub(r.started).Seconds(), one.by.ID, key, one.Fence, other.ID, fence)
+				}
+			}
+			if highest[key] == nil {
+				highest[key] = map[*deployment.Target]uint64{}
+			}
+			highest[key][one.by] = max(highest[key][one.by], one.Fence)
+		}
+	}
+	r.log("%d grants taken", len(takes))
+}
+
 // ended notes the time of a fault for the checks at the end.
 func (r *run) ended(kind int, server *deployment.Target, began time.Time) {
 	r.mu.Lock()
