A new leader takes no list away that it does not have, and repeats none

What callers saw: after a change of the leader VMs knew no targets until the next one had read the declarations, so that they could send nowhere; with 300 VMs the lists that they then got again delayed heartbeats until the lead changed once more.

Cause: a new leader had no list of targets until it had read all entries, and sent that: a list without targets, as a whole. Then it sent each VM the whole list, since it did not know which one it had. The design said that a new leader repeats nothing.

A leader begins with the lists that it followed, by the names under which it had them, as the base of differences, and sends no list that it does not have.

TestNextLeaderRepeatsNothing (the store takes 0.6 s for a list) failed before: a VM knew 0 of 6 targets, 12 lists were sent as a whole.

--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -108,6 +108,35 @@
 	})
 }
 
+// fewestTargets watches the views of the nodes for a time and returns the lowest
+// number of targets that one of them knew.
+func (w *world) fewestTargets(watch time.Duration) int {
+	fewest := len(w.targets)
+	for began := time.Now(); time.Since(began) < watch; time.Sleep(10 * time.Millisecond) {
+		for _, n := range w.nodes {
+			n.mu.Lock()
+			fewest = min(fewest, len(n.view.Targets))
+			n.mu.Unlock()
+		}
+	}
+	return fewest
+}
+
+// TestNextLeaderRepeatsNothing: VMs keep the targets that they know while the next
+// leader reads the declarations, and get no list again that they have.
+func TestNextLeaderRepeatsNothing(t *testing.T) {
+	run(t, seed.Value, 5, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		time.Sleep(4 * time.Second)
+		w.set(func() { w.listTakes, w.wholeLists = 600*time.Millisecond, 0 })
+		name, _ := w.leader()
+		w.killNode(name)
+		fewest := w.fewestTargets(4 * time.Second)
+		w.check(fewest == 6, "a VM knew %d of 6 targets", fewest)
+		w.set(func() { w.check(w.wholeLists == 0, "%d lists were sent as a whole", w.wholeLists) })
+	})
+}
+
 // TestTargetEnded: keys of a target whose port refuses connections are served
 // again within a second and the renewal that notices it.
 func TestTargetEnded(t *testing.T) {
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -140,6 +140,7 @@
 		c.observer.Start(c.ctx)
 	}
 	// The own view goes its own ways from here on.
+	l.parts.adopt(c.view, c.have)
 	c.have = &peerv1.PartVersions{}
 	l.keeper.adopt(c.view.Slices, time.Now())
 	c.config.AdoptRepeats(repeatsFromWire(c.repeats), c.heardAt)
--- a/internal/process/coordinator/parts.go
+++ b/internal/process/coordinator/parts.go
@@ -59,6 +59,20 @@
 	}
 }
 
+// adopt begins with the lists that this VM has of the former leader, by their names
+// there: other VMs have the same, and get what changes as differences to them.
+func (p *parts) adopt(view *fleet.View, have *peerv1.PartVersions) {
+	if have.Targets != 0 {
+		p.targets.set(targetSet{view.Targets, view.Evacuated}, have.Targets)
+	}
+	if have.Slices != 0 {
+		p.slices.set(sliceSet(view.Slices), have.Slices)
+	}
+	if have.Members != 0 {
+		p.members.set(memberSet{view.Members, view.Brokers}, have.Members)
+	}
+}
+
 // versions returns the present digests.
 func (p *parts) versions(now time.Time) *peerv1.PartVersions {
 	if p.newOwned && now.Sub(p.slicesSet) >= slicesAge {
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -95,24 +95,25 @@
 	return l.repeats
 }
 
-// addParts adds the parts to a state that a VM lacks.
+// addParts adds the parts to a state that a VM lacks. A list that this leader does
+// not have yet takes nothing from anybody.
 func (c *Coordinator) addParts(state *peerv1.FleetState, m *member, now time.Time) {
 	p := c.lead.parts
 	if m.sent.Config < p.configVersion {
 		state.Config, m.sent.Config, m.sentAt = p.config, p.configVersion, now
 	}
-	if m.sent.Targets != p.targets.digest {
+	if p.targets.digest != 0 && m.sent.Targets != p.targets.digest {
 		state.Targets = p.targets.since(m.sent.Targets, now)
 		m.sent.Targets, m.sentAt = p.targets.digest, now
 	}
 	if now.Sub(m.detailsAt) < c.detailPause() {
 		return
 	}
-	if m.sent.Slices != p.slices.digest {
+	if p.slices.digest != 0 && m.sent.Slices != p.slices.digest {
 		state.Slices = p.slices.since(m.sent.Slices, now)
 		m.sent.Slices, m.sentAt, m.detailsAt = p.slices.digest, now, now
 	}
-	if m.sent.Members != p.members.digest {
+	if p.members.digest != 0 && m.sent.Members != p.members.digest {
 		state.Members = p.members.since(m.sent.Members, now)
 		m.sent.Members, m.sentAt, m.detailsAt = p.members.digest, now, now
 	}
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -48,6 +48,10 @@
 	loseAnswers float64
 	// lateOrders is the share of orders that are not answered and applied late.
 	lateOrders float64
+	// listTakes is how long the store takes for a list.
+	listTakes time.Duration
+	// wholeLists counts the lists of targets, owners and VMs that were sent as a whole.
+	wholeLists int
 	calls      uint64
 	waiting    map[uint64]chan *peerv1.Control
 	problems   []string
@@ -275,6 +279,11 @@
 	}
 	w.mu.Lock()
 	receiver := w.nodes[to]
+	for _, list := range []*peerv1.Part{message.GetFleetState().GetTargets(), message.GetFleetState().GetSlices(), message.GetFleetState().GetMembers()} {
+		if list != nil && list.Base == 0 {
+			w.wholeLists++
+		}
+	}
 	w.mu.Unlock()
 	if receiver == nil {
 		return
@@ -361,6 +370,10 @@
 	if err := s.reach(ctx); err != nil {
 		return nil, 0, err
 	}
+	s.node.world.mu.Lock()
+	takes := s.node.world.listTakes
+	s.node.world.mu.Unlock()
+	time.Sleep(takes)
 	return s.node.world.memory.List(ctx, prefix)
 }
 
