Send a revocation to a target on a connection of its own

A target of run and dev that wrote the answer to a grant or a health check once more, when a revocation arrived, had its slices passed on before it had stopped accepting requests of them.

A revocation is now the only request on its connection. The contract grants two control connections, so calls to an address wait for one of two turns, and the idle connections to it are closed before the new one opens. Each address has a transport of its own for that; one without calls for a minute is forgotten. Heads are bounded as those of other answers are, and redirects are not followed. Ruled out: an id for control requests, which targets that keep to the present contract would not repeat, and a third connection.

That there are never more than two connections is by construction, not tested; an earlier answer to a grant may still be misjudged until it runs out.

--- a/internal/connection/target/control.go
+++ b/internal/connection/target/control.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -30,24 +32,59 @@
 // ControlClient is the Controller over HTTP. It has connections of its own, so
 // that requests in progress never delay a grant.
 type ControlClient struct {
-	client    *http.Client
+	mu      sync.Mutex
+	targets map[string]*controlled
+}
+
+// controlled is what the client keeps for one address.
+type controlled struct {
+	// turns bounds the calls under way, and with them the connections.
+	turns     chan struct{}
 	transport *http.Transport
+	usedAt    time.Time
 }
 
 // NewControlClient returns a client; Close releases its connections.
 func NewControlClient() *ControlClient {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: controlDialTimeout}).DialContext,
-		MaxConnsPerHost:     ControlConnections,
-		MaxIdleConnsPerHost: ControlConnections,
-		IdleConnTimeout:     controlIdleTimeout,
-		DisableCompression:  true,
+	return &ControlClient{targets: map[string]*controlled{}}
+}
+
+func newControlTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: controlDialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    ControlConnections,
+		IdleConnTimeout:        controlIdleTimeout,
+		MaxResponseHeaderBytes: maxHead,
+		DisableCompression:     true,
 	}
-	return &ControlClient{client: &http.Client{Transport: transport}, transport: transport}
 }
 
 // Close closes the idle connections.
-func (c *ControlClient) Close() { c.transport.CloseIdleConnections() }
+func (c *ControlClient) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.targets {
+		t.transport.CloseIdleConnections()
+	}
+}
+
+// to returns what is kept for an address, and forgets addresses without calls.
+func (c *ControlClient) to(address string) *controlled {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	t := c.targets[address]
+	if t == nil {
+		// Their connections have been closed as idle.
+		maps.DeleteFunc(c.targets, func(_ string, t *controlled) bool {
+			return len(t.turns) == 0 && now.Sub(t.usedAt) > 2*controlIdleTimeout
+		})
+		t = &controlled{turns: make(chan struct{}, ControlConnections), transport: newControlTransport()}
+		c.targets[address] = t
+	}
+	t.usedAt = now
+	return t
+}
 
 // Grant gives or renews the slices of a target.
 func (c *ControlClient) Grant(ctx context.Context, address string, grant Grant) (GrantReply, error) {
@@ -74,7 +111,23 @@
 	if err != nil {
 		return err
 	}
-	response, err := c.client.Do(request)
+	t := c.to(address)
+	select {
+	case t.turns <- struct{}{}:
+		defer func() { <-t.turns }()
+	case <-ctx.Done():
+		return callError(ctx.Err(), address)
+	}
+	transport := t.transport
+	if path == PathRevoke {
+		// Answers bear no id: an earlier one that is written again must not pass for
+		// the end of the grant, so a revocation uses a connection once. The idle ones
+		// make room for it.
+		transport.CloseIdleConnections()
+		transport = newControlTransport()
+		transport.DisableKeepAlives = true
+	}
+	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return callError(err, address)
 	}
--- a/internal/connection/target/control_test.go
+++ b/internal/connection/target/control_test.go
@@ -1,9 +1,14 @@
 package target_test
 
 import (
+	"bufio"
+	"io"
 	"math"
 	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -69,3 +74,32 @@
 	_, err = newControl(t).Grant(testContext(t), silent.Addr().String(), target.Grant{Epoch: 1})
 	assert.Assert(t, fault.Is(err, fault.UnknownOutcome), "%v", err)
 }
+
+// TestEarlierAnswerIsNoRevocation: the slices would be granted to another target
+// while this one still accepts requests of them.
+func TestEarlierAnswerIsNoRevocation(t *testing.T) {
+	var revoked atomic.Bool
+	address := listenRaw(t, func(socket *net.TCPConn) {
+		in := bufio.NewReader(socket)
+		for earlier := ""; ; {
+			request, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+			if request.URL.Path == target.PathRevoke {
+				_, _ = io.WriteString(socket, earlier)
+				time.Sleep(50 * time.Millisecond)
+				revoked.Store(true)
+			}
+			earlier = answer
+			_, _ = io.WriteString(socket, answer)
+		}
+	})
+	control := newControl(t)
+	_, err := control.Grant(testContext(t), address, target.Grant{Epoch: 1})
+	assert.NilError(t, err)
+	assert.NilError(t, control.Revoke(testContext(t), address, target.Revocation{Epoch: 1}))
+	assert.Assert(t, revoked.Load())
+}
