--- a/internal/connection/target/cut_test.go
+++ b/internal/connection/target/cut_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -19,6 +20,11 @@
 		"length":       {head("a", "Content-Length: 12", "Keep-Alive: timeout=10\r\n\r\n"), "twelve bytes"},
 		"length first": {"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n" + target.HeaderRequestID + ": a\r\n\r\n", "twelve bytes"},
 		"no content":   {strings.Replace(head("a", "\r\n"), "200 OK", "204 No Content", 1), ""},
+		"not modified": {strings.Replace(head("a", "Content-Length: 12\r\n\r\n"), "200 OK", "304 Not Modified", 1), ""},
+		"closing":      {head("a", "Connection: close", "Content-Length: 12\r\n\r\n"), "twelve bytes"},
+		"old":          {strings.Replace(head("a", "Content-Length: 12\r\n\r\n"), "HTTP/1.1", "HTTP/1.0", 1), "twelve bytes"},
+		"old unframed": {strings.Replace(head("a", "Keep-Alive: timeout=10\r\n\r\n"), "HTTP/1.1", "HTTP/1.0", 1), ""},
+		"HEAD":         {head("a", "Content-Length: 12\r\n\r\n"), ""},
 		"chunked":      {head("a", "Transfer-Encoding: chunked\r\n\r\n"), "6\r\ntwelve\r\n6;e=f\r\n bytes\r\n0\r\nT: u\r\n\r\n"},
 		"unframed":     {head("a", "Keep-Alive: timeout=10\r\n\r\n"), ""},
 		"bare newline": {strings.ReplaceAll(head("a", "Content-Length: 12\r\n\r\n"), "\r", ""), "twelve bytes"},
@@ -26,13 +32,20 @@
 		t.Run(name, func(t *testing.T) {
 			text := c.text + c.body
 			sent := ""
+			request := func() *http.Request {
+				r := newRequest("a", "", "")
+				if name == http.MethodHead {
+					r.Method = name
+				}
+				return r
+			}
 			pool := strayPool(t, func(socket *net.TCPConn) {
 				_, _ = readRequest(bufio.NewReader(socket))
 				_, _ = io.WriteString(socket, sent)
 			})
 			for n := range len(text) {
 				sent = text[:n]
-				answer, body, err := exchangeOnce(testContext(t), t, pool, newRequest("a", "", ""))
+				answer, body, err := exchangeOnce(testContext(t), t, pool, request())
 				assert.Assert(t, err != nil, "cut after %q: body %q", sent, body)
 				assert.Assert(t, answer == nil || n >= len(c.text), "cut after %q", sent)
 				if answer == nil {
@@ -40,7 +53,7 @@
 				}
 			}
 			sent = text
-			_, _, err := exchangeOnce(testContext(t), t, pool, newRequest("a", "", ""))
+			_, _, err := exchangeOnce(testContext(t), t, pool, request())
 			assert.NilError(t, err)
 		})
 	}
