Send whole lists of targets within a tenth of a second of the leader's link

Cause: all VMs start at once and have nothing. The leader answered the first report of each with all it knows, 107 kB of targets and owners of keys, 32 MB for 299 VMs: more than a second of its link of 200 Mbit/s, in which heartbeats wait behind lists. VMs that did not hear the leader for 0.8 s chose another, which sent all lists again.

Of whole lists no more are under way than the link takes in 0.1 s (limits.linkMbps in the platform's settings; no bound if it is not known). A VM reports a whole list as soon as it has it, and that is the turn of the next; it gets the owners of keys after the targets, without which they are of no use. Weighed: lists in small parts (the same, with more to keep track of), and a longer time until a leader counts as silent (each loss of the leader would take longer).

TestManyVMsStartAtOnce plays 100 VMs and 3,000 targets on links of 2 MB/s. Without the bound the lead changed at 1.5 s and on to the end of the test.

--- a/cmd/chestnutcoursed/platform.go
+++ b/cmd/chestnutcoursed/platform.go
@@ -88,7 +88,7 @@
 	return gateway.Settings{
 		VM: s.VM, FailureDomain: s.FailureDomain,
 		Callers: s.CallersAddress, Ready: s.ReadyAddress, Peers: s.PeersAddress, Advertised: advertised, Metrics: s.MetricsAddress,
-		Deployment: deployment, Processor: s.Processor,
+		Deployment: deployment, Processor: s.Processor, LinkRate: s.LinkRate,
 		Broker: admission.Config{
 			Budget: admission.Budget{
 				Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow,
--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -55,6 +55,8 @@
 	Targets    Targets
 	// LongestHold is the longest grant that targets accept.
 	LongestHold time.Duration
+	// LinkRate is what the VM's link carries, in bytes a second; 0 if it is not known.
+	LinkRate float64
 	// Publish receives every new view; it runs on the loop.
 	Publish func(*fleet.View)
 	// Observe returns what the own broker has measured of a target.
--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
 	"github.com/chestnutcourse/chestnutcourse/internal/testutil/seed"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
 // leader returns the name of the VM that leads, and how many VMs do.
@@ -111,13 +112,20 @@
 // fewestTargets watches the views of the nodes for a time and returns the lowest
 // number of targets that one of them knew.
 func (w *world) fewestTargets(watch time.Duration) int {
-	fewest := len(w.targets)
+	fewest := w.fewestKnown()
 	for began := time.Now(); time.Since(began) < watch; time.Sleep(10 * time.Millisecond) {
-		for _, n := range w.nodes {
-			n.mu.Lock()
-			fewest = min(fewest, len(n.view.Targets))
-			n.mu.Unlock()
-		}
+		fewest = min(fewest, w.fewestKnown())
+	}
+	return fewest
+}
+
+// fewestKnown returns the number of targets that the node knows that knows fewest.
+func (w *world) fewestKnown() int {
+	fewest := fleet.Keys
+	for _, n := range w.nodes {
+		n.mu.Lock()
+		fewest = min(fewest, len(n.view.Targets))
+		n.mu.Unlock()
 	}
 	return fewest
 }
@@ -224,6 +232,31 @@
 	})
 }
 
+// TestManyVMsStartAtOnce: the lists for a hundred VMs take the leader's link seconds.
+// Its heartbeats do not wait behind them, so that it stays the leader, and all VMs
+// know the targets.
+func TestManyVMsStartAtOnce(t *testing.T) {
+	const vms, targets = 100, 3000
+	run(t, seed.Value, 0, 0, func(w *world) {
+		for i := range targets {
+			id := fmt.Sprintf("s%04d", i)
+			w.put("servers/"+id, fleet.Target{Life: fleet.Life{ID: id, Born: int64(i)*7919 + 1}, Service: "free", Address: id + ":1", Slots: 2})
+		}
+		w.linkRate = 2 << 20
+		for i := range vms {
+			w.startNode(fmt.Sprintf("n%d", i))
+		}
+		time.Sleep(time.Second)
+		first, _ := w.leader()
+		for began := time.Now(); time.Since(began) < 12*time.Second; time.Sleep(100 * time.Millisecond) {
+			name, count := w.leader()
+			w.check(count == 1 && name == first, "%d leaders, %s after %s", count, name, first)
+		}
+		fewest := w.fewestKnown()
+		w.check(fewest == targets, "a VM knows %d of %d targets", fewest, targets)
+	})
+}
+
 // TestTargetStartsAgainUnderItsName: its former life holds nothing, the new one
 // gets keys at higher fences.
 func TestTargetStartsAgainUnderItsName(t *testing.T) {
--- a/internal/process/coordinator/listpart.go
+++ b/internal/process/coordinator/listpart.go
@@ -61,6 +61,12 @@
 	clear(p.encoded)
 }
 
+// has reports whether a list is known by its digest.
+func (p *listPart[T]) has(digest uint64) bool {
+	_, known := p.former[digest]
+	return known
+}
+
 // since returns what a VM lacks that has the list with a digest.
 func (p *listPart[T]) since(have uint64, now time.Time) *peerv1.Part {
 	if now.Sub(p.encodedAt) > partAge {
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -106,6 +106,9 @@
 		c.takeParts(&view, state, now)
 		c.publish(&view)
 	}
+	if !now.Before(c.reportAt) {
+		c.report(now)
+	}
 }
 
 // heard notes a word of the leader.
@@ -124,6 +127,10 @@
 	if c.takeList(state.Targets, c.have.Targets, targets) {
 		c.have.Targets = state.Versions.Targets
 		view.Targets, view.Evacuated = applyTargets(targets, baseOf(state.Targets, view.Targets), now)
+		if state.Targets.Base == 0 {
+			// The leader waits for the report before it sends more.
+			c.reportAt = now
+		}
 	}
 	if c.takeList(state.Slices, c.have.Slices, sliceList) {
 		c.have.Slices = state.Versions.Slices
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -12,6 +12,10 @@
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
+// loadTime is how long the whole lists of targets take the leader's link that are
+// under way at the same time, a part of silentAfter.
+const loadTime = 100 * time.Millisecond
+
 // member is what the leader knows of another VM.
 type member struct {
 	fleet.Member
@@ -25,6 +29,10 @@
 	sent      *peerv1.PartVersions
 	sentAt    time.Time
 	detailsAt time.Time
+	// waits is set while the VM lacks the targets and it is not its turn to get all
+	// of them; loadingSince is when they were sent to it, until it has reported them.
+	waits        bool
+	loadingSince time.Time
 }
 
 // pushWithin passes changes on after a pause, together with those that follow.
@@ -102,21 +110,53 @@
 	if m.sent.Config < p.configVersion {
 		state.Config, m.sent.Config, m.sentAt = p.config, p.configVersion, now
 	}
+	m.waits = false
 	if p.targets.digest != 0 && m.sent.Targets != p.targets.digest {
-		state.Targets = p.targets.since(m.sent.Targets, now)
-		m.sent.Targets, m.sentAt = p.targets.digest, now
+		part := p.targets.since(m.sent.Targets, now)
+		if m.waits = part.Base == 0 && !c.mayLoad(m, len(part.Body), now); !m.waits {
+			state.Targets, m.sent.Targets, m.sentAt = part, p.targets.digest, now
+		}
 	}
 	if now.Sub(m.detailsAt) < c.detailPause() {
 		return
 	}
-	if p.slices.digest != 0 && m.sent.Slices != p.slices.digest {
-		state.Slices = p.slices.since(m.sent.Slices, now)
-		m.sent.Slices, m.sentAt, m.detailsAt = p.slices.digest, now, now
-	}
 	if p.members.digest != 0 && m.sent.Members != p.members.digest {
 		state.Members = p.members.since(m.sent.Members, now)
 		m.sent.Members, m.sentAt, m.detailsAt = p.members.digest, now, now
 	}
+	// Owners of keys are of no use without the targets.
+	if p.slices.digest != 0 && m.sent.Slices != p.slices.digest && !m.waits && m.loadingSince.IsZero() {
+		state.Slices = p.slices.since(m.sent.Slices, now)
+		m.sent.Slices, m.sentAt, m.detailsAt = p.slices.digest, now, now
+	}
+}
+
+// mayLoad reports whether a VM may be sent a whole list of targets now, and notes
+// that it is. Heartbeats must not wait behind the lists of a fleet that starts at
+// once, so that these take the link for loadTime at most.
+func (c *Coordinator) mayLoad(m *member, size int, now time.Time) bool {
+	underWay := 0
+	for _, other := range c.lead.members {
+		if other != m && now.Sub(other.loadingSince) < resendAfter {
+			underWay += size
+		}
+	}
+	if c.config.LinkRate > 0 && underWay > 0 && float64(underWay+size) > c.config.LinkRate*loadTime.Seconds() {
+		return false
+	}
+	m.loadingSince = now
+	return true
+}
+
+// loaded notes that a VM has reported a list of targets, so that it is another's turn.
+func (c *Coordinator) loaded(m *member, now time.Time) {
+	m.loadingSince, m.detailsAt = time.Time{}, time.Time{}
+	for _, next := range c.lead.members {
+		if next.waits {
+			c.push(next, now)
+			return
+		}
+	}
 }
 
 func (c *Coordinator) detailPause() time.Duration {
@@ -153,6 +193,9 @@
 			m.sent = proto.Clone(report.Have).(*peerv1.PartVersions)
 		}
 	}
+	if !m.loadingSince.IsZero() && l.parts.targets.has(report.Have.GetTargets()) {
+		c.loaded(m, now)
+	}
 	c.push(m, now)
 }
 
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
@@ -48,6 +49,8 @@
 	loseAnswers float64
 	// lateOrders is the share of orders that are not answered and applied late.
 	lateOrders float64
+	// linkRate is what the link of each node carries, in bytes a second; 0 for no bound.
+	linkRate float64
 	// listTakes is how long the store takes for a list.
 	listTakes time.Duration
 	// wholeLists counts the lists of targets, owners and VMs that were sent as a whole.
@@ -81,6 +84,8 @@
 	mu          sync.Mutex
 	// taken are the processes that took a fence from this node; world.mu guards it.
 	taken map[uint64]*fakeTarget
+	// linkFree is when what was sent has left the node's link; world.mu guards it.
+	linkFree time.Time
 	// repeated are the counts that the node's broker has, or has adopted.
 	repeated   map[string]admission.RepeatCount
 	repeatedAt time.Time
@@ -132,7 +137,7 @@
 	n.coordinator = coordinator.New(coordinator.Config{
 		Self:       fleet.Member{VM: name, Incarnation: n.incarnation, Address: name + ":1", Processor: processorOf(name), FailureDomain: domainOf(name)},
 		RecordName: "own/record", Names: names, Loop: n.loop, Store: nodeStore{n}, Sender: n, Targets: n,
-		LongestHold: 10 * time.Second, Publish: n.publish, Observe: n.observe, Demand: n.demand,
+		LinkRate: w.linkRate, LongestHold: 10 * time.Second, Publish: n.publish, Observe: n.observe, Demand: n.demand,
 		Repeats: n.repeats, AdoptRepeats: n.adoptRepeats,
 		Dial: n.dial, Uptime: func() time.Duration { return time.Since(w.began) }, Logger: &logger,
 	})
@@ -257,12 +262,29 @@
 // Send implements peer.ControlSender.
 func (n *node) Send(vm string, message *peerv1.Control) {
 	vm, _, _ = strings.Cut(vm, ":")
+	sent := n.transmit(proto.Size(message))
 	go func() {
-		time.Sleep(time.Duration(1+rand.IntN(3)) * time.Millisecond)
+		time.Sleep(sent + time.Duration(1+rand.IntN(3))*time.Millisecond)
 		n.world.deliver(n, vm, message)
 	}()
 }
 
+// transmit returns how long it takes until a message has left the node's link, behind
+// those that were sent before.
+func (n *node) transmit(size int) time.Duration {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	if n.world.linkRate == 0 {
+		return 0
+	}
+	now := time.Now()
+	if n.linkFree.Before(now) {
+		n.linkFree = now
+	}
+	n.linkFree = n.linkFree.Add(time.Duration(float64(size) / n.world.linkRate * float64(time.Second)))
+	return n.linkFree.Sub(now)
+}
+
 func (w *world) deliver(from *node, to string, message *peerv1.Control) {
 	if !w.path(from.name, to) {
 		return
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -66,7 +66,9 @@
 	// Deployment must be the same on all VMs.
 	Deployment string
 	Processor  float64
-	Broker     admission.Config
+	// LinkRate is what the VM's link carries, in bytes a second; 0 if it is not known.
+	LinkRate float64
+	Broker   admission.Config
 	// LongestHold is the longest grant that targets accept.
 	LongestHold time.Duration
 	// StopWithin bounds a stop.
@@ -135,7 +137,7 @@
 	g.coordinator = coordinator.New(coordinator.Config{
 		Self:       g.self,
 		RecordName: platform.RecordName, Names: platform.Names, Loop: g.loop, Store: platform.Store,
-		Sender: g.transport, Targets: platform.Targets, LongestHold: g.settings.LongestHold,
+		Sender: g.transport, Targets: platform.Targets, LongestHold: g.settings.LongestHold, LinkRate: g.settings.LinkRate,
 		Publish: g.publish, Observe: g.desk.Observe, Demand: g.desk.Demand, Dial: dial,
 		Repeats: g.desk.Repeats, AdoptRepeats: g.desk.AdoptRepeats, Uptime: uptime, Logger: &g.logger,
 	})
