Let the keys of an ended target move although renewals to it were lost

Since the proof of a target's end has a time, keys waited up to 3.3 s more where renewals that were under way at the end got no answer just after the question: they counted as ones that the next life may have taken. A renewal goes over the connection of the process that has ended; only a fence that is granted anew may reach another. Only those count.

TestLostRenewalsOfAnEndedTargetHoldNothing failed for renewals and passes; that for new fences passes before and after.

--- a/internal/process/coordinator/keeper.go
+++ b/internal/process/coordinator/keeper.go
@@ -61,6 +61,8 @@
 	// at the address may have taken it.
 	underWay map[fleet.Life]int
 	late     map[fleet.Life]bool
+	// grantedAt is when a grant of a new fence last ended other than refused.
+	grantedAt map[fleet.Life]time.Time
 	// granting counts the grants among them, by the life that they are for.
 	granting map[fleet.Life]int
 	// ordering are the slices with an order under way, by fence and target.
@@ -112,7 +114,8 @@
 		handovers: map[uint64]string{}, gone: map[fleet.Life]bool{},
 		successors: map[fleet.Life]fleet.Life{},
 		underWay:   map[fleet.Life]int{}, late: map[fleet.Life]bool{}, granting: map[fleet.Life]int{},
-		ordering: map[order]bool{}, retryAt: map[order]time.Time{},
+		grantedAt: map[fleet.Life]time.Time{},
+		ordering:  map[order]bool{}, retryAt: map[order]time.Time{},
 		confirmedAt: map[sliceID]time.Time{}, readySince: map[sliceID]time.Time{},
 		sent: map[uint64]bool{},
 	}
@@ -181,11 +184,11 @@
 	return time.Duration(float64(hold)*(1+clockSlack)) + holdMargin
 }
 
-// ended notes that a life of a target was over at a time. What was granted later
-// may have been taken by the next life.
+// ended notes that a life of a target was over at a time. A new fence that was granted
+// later may have been taken by the next life; renewals reach the former one only.
 func (k *keeper) ended(life fleet.Life, at time.Time) {
 	k.gone[life] = true
-	k.late[life] = k.late[life] || k.mayHoldUntil[life].After(at.Add(longestHeld(k.hold)))
+	k.late[life] = k.late[life] || k.grantedAt[life].After(at)
 	for _, list := range k.slices {
 		for i := range list {
 			list[i].Ready = list[i].Ready && list[i].Owner != life
@@ -334,6 +337,9 @@
 func (k *keeper) granted(t task, ok bool, now time.Time) bool {
 	k.orderEnded(t)
 	k.late[t.target] = k.late[t.target] || k.gone[t.target]
+	if !t.again {
+		k.grantedAt[t.target] = now
+	}
 	until := now.Add(longestHeld(k.hold))
 	life, known := t.target, true
 	for known {
--- a/internal/process/coordinator/parts_test.go
+++ b/internal/process/coordinator/parts_test.go
@@ -330,6 +330,21 @@
 	assert.Assert(t, k.mayHold(present, now.Add(2*usualHold)))
 }
 
+// TestLostRenewalsOfAnEndedTargetHoldNothing: a renewal goes to the process that has ended, a new fence may have gone to the next one.
+func TestLostRenewalsOfAnEndedTargetHoldNothing(t *testing.T) {
+	for _, again := range []bool{true, false} {
+		asked := time.Now()
+		life := fleet.Life{ID: "a", Born: 1}
+		k := newKeeper(map[string][]fleet.Slice{"s": {{Last: 65535, Owner: life}}}, fencesAfter(&fleet.Record{}), usualHold)
+		k.formerEnded(asked.Add(-time.Minute))
+		due := k.due(asked)[0]
+		due.again = again
+		k.granted(due, false, asked.Add(time.Millisecond))
+		k.ended(life, asked)
+		assert.Equal(t, k.mayHold(life, asked.Add(time.Second)), !again)
+	}
+}
+
 // TestFirstGrantUnderWayIsHeld: a target whose first grant has no answer yet may hold the keys that go to another.
 func TestFirstGrantUnderWayIsHeld(t *testing.T) {
 	now := time.Now()
