Count the load of a range by its pieces once a hot key is cut out of it

Dispatchers cut the hashes of hot keys out of a range and hold and report what is left in pieces. The controller looked for a slice with the bounds of each piece, found none and dropped the report. The range kept the load of before the key got a slice of its own, for ever, and the key counted a second time by its own reports. Targets with hot keys looked loaded, gave work away and were left short of it, while the overloaded ones looked no worse.

Seen in traces of TestSkewIsRelieved, with what the controller counts beside what the targets answer: from 20 s after the start the cell counted with 342 to 374 requests a second of 300. In another a target that five keys had been isolated from counted with 39 for ten seconds and answered 20.

The controller now keeps the loads of pieces, forgets those of other bounds when bounds change, and adds them up to the record's slices. A slice whose pieces are not all known keeps its estimate. TestARangeLosesTheLoadOfAHotKey counted a range with 100 requests a second before, of which 40 were left.

--- a/internal/process/controller/reports.go
+++ b/internal/process/controller/reports.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -32,8 +33,11 @@
 	targets  map[string]*targetReport
 	accepted map[acceptanceKey]placement.Acceptance
 	done     map[string]placement.Handover
-	// levels are the loads as last reported. They hold until the next report,
+	// pieces are the loads as last reported. They hold until the next report,
 	// since dispatchers report only what changes.
+	pieces map[placement.SliceID]float64
+	// levels are the loads of the record's slices by their pieces. A slice whose
+	// pieces are not all known has none.
 	levels map[placement.SliceID]float64
 	// advanced is when the averages were last brought up to date.
 	advanced time.Time
@@ -62,7 +66,7 @@
 func newReports() reports {
 	return reports{loads: placement.NewLoads(), targets: map[string]*targetReport{},
 		accepted: map[acceptanceKey]placement.Acceptance{}, done: map[string]placement.Handover{},
-		levels: map[placement.SliceID]float64{}}
+		pieces: map[placement.SliceID]float64{}, levels: map[placement.SliceID]float64{}}
 }
 
 // sliceID reads the identity of a slice from a message.
@@ -187,13 +191,12 @@
 func (c *cell) mergeLoads(t *targetReport, load *peerv1.TargetLoad) {
 	r := &c.reports
 	for _, s := range load.Slices {
-		id := sliceID(s.Slice)
-		if placement.Lookup(c.record, id) == nil {
-			continue
-		}
-		r.levels[id] = float64(s.RequestsPerSecond)
+		r.setPiece(sliceID(s.Slice), float64(s.RequestsPerSecond))
+	}
+	r.levels = levelsOf(c.record, r.pieces)
+	for id, level := range r.levels {
 		if !r.loads.Known(id) {
-			r.loads.SetSlice(id, r.levels[id])
+			r.loads.SetSlice(id, level)
 		}
 	}
 	for _, key := range t.hotKeys {
@@ -206,6 +209,37 @@
 	}
 }
 
+// setPiece notes the load of a piece and forgets those of other bounds.
+func (r *reports) setPiece(id placement.SliceID, requestsPerSecond float64) {
+	if _, known := r.pieces[id]; !known && id.Key == "" {
+		maps.DeleteFunc(r.pieces, func(other placement.SliceID, _ float64) bool {
+			return other.Key == "" && other.First <= id.Last && id.First <= other.Last
+		})
+	}
+	r.pieces[id] = requestsPerSecond
+}
+
+// levelsOf returns the loads of the slices whose pieces are all known.
+// Dispatchers cut the hashes of hot keys out of a range and report what is left
+// in pieces.
+func levelsOf(record *assignment.Cell, pieces map[placement.SliceID]float64) map[placement.SliceID]float64 {
+	levels, covered := map[placement.SliceID]float64{}, map[placement.SliceID]uint64{}
+	for id, level := range pieces {
+		slice := record.Find(id.Key, id.First)
+		if slice == nil || slice.Key != id.Key || slice.Last < id.Last {
+			continue
+		}
+		whole := placement.IDOf(slice)
+		levels[whole] += level
+		covered[whole] += id.Last - id.First + 1
+	}
+	for i := range record.HotKeys {
+		covered[placement.IDOf(record.Find("", record.HotKeys[i].First))]++
+	}
+	maps.DeleteFunc(levels, func(id placement.SliceID, _ float64) bool { return covered[id] != id.Last-id.First+1 })
+	return levels
+}
+
 // advance lets the averages follow what was last reported.
 func (r *reports) advance(now time.Time) {
 	if r.advanced.IsZero() {
@@ -300,9 +334,6 @@
 func (r *reports) retain(record *assignment.Cell) {
 	has := func(id placement.SliceID) bool { return placement.Lookup(record, id) != nil }
 	r.loads.Retain(has, func(key string) bool { return r.loads.Key(key) > 0 })
-	for id := range r.levels {
-		if !has(id) {
-			delete(r.levels, id)
-		}
-	}
+	maps.DeleteFunc(r.pieces, func(id placement.SliceID, _ float64) bool { return id.Key != "" && !has(id) })
+	r.levels = levelsOf(record, r.pieces)
 }
--- a/internal/process/controller/reports_test.go
+++ b/internal/process/controller/reports_test.go
@@ -55,6 +55,39 @@
 	assert.Equal(t, fast.Capacity(), 4.0, "a target faster than usual has no more slots")
 }
 
+// TestARangeLosesTheLoadOfAHotKey gives a key a slice of its own. Its dispatcher
+// then reports the range in two pieces, without the key.
+func TestARangeLosesTheLoadOfAHotKey(t *testing.T) {
+	const key = "hot"
+	hash := assignment.HashKey(key)
+	c, id := reportedCell()
+	dispatcher, now := assignment.Holder{VM: "d"}, time.Unix(0, 0)
+	c.mergeTarget(dispatcher, loadOf(100, 1))
+	c.reports.advance(now)
+	changed := c.record.Clone()
+	assert.NilError(t, placement.Isolate(changed, key))
+	c.adopt(changed, 1)
+	pieces := loadOf(30, 1)
+	pieces.Slices[0].Slice.Last = hash - 1
+	pieces.Slices = append(pieces.Slices,
+		&peerv1.SliceLoad{Slice: &peerv1.SliceRef{Cell: "s/0", First: hash + 1, Last: math.MaxUint64}, Fence: 1, RequestsPerSecond: 10},
+		&peerv1.SliceLoad{Slice: &peerv1.SliceRef{Cell: "s/0", First: hash, Last: hash, Key: key}, Fence: 1, RequestsPerSecond: 60})
+	c.mergeTarget(dispatcher, pieces)
+	for second := range 60 {
+		c.reports.advance(now.Add(time.Duration(second) * time.Second))
+	}
+	hot := placement.SliceID{First: hash, Last: hash, Key: key}
+	assert.Assert(t, math.Abs(c.reports.loads.Slice(hot)-60) < 1, "the key counts as %.1f", c.reports.loads.Slice(hot))
+	assert.Assert(t, math.Abs(c.reports.loads.Slice(id)-40) < 1, "the range counts as %.1f", c.reports.loads.Slice(id))
+	assert.NilError(t, placement.Absorb(changed, key))
+	c.adopt(changed, 2)
+	c.mergeTarget(dispatcher, loadOf(90, 1))
+	for second := range 60 {
+		c.reports.advance(now.Add(time.Duration(100+second) * time.Second))
+	}
+	assert.Assert(t, math.Abs(c.reports.loads.Slice(id)-90) < 1, "the range counts as %.1f", c.reports.loads.Slice(id))
+}
+
 // TestReportsOfOtherEpochsAreIgnored sends the load of a dispatcher whose right
 // has passed on.
 func TestReportsOfOtherEpochsAreIgnored(t *testing.T) {
