Measure a slice from when it is held, not from its first request

The rate of a slice began with its first request: the second that held it was taken for the mean, and the seconds before it did not count. A slice that is asked for less than once in ten seconds was forgotten in between and began anew, so that each of its requests counted three times. Targets with many cold slices counted with more load than they have.

Found in the code while the counts of TestSkewIsRelieved were traced. What it adds there by itself was not measured.

Held slices now have a meter for as long as they are held. Its rate is the plain mean over the first periods, by their lengths, and the moving mean after that.

--- a/internal/request/dispatch/housekeeping.go
+++ b/internal/request/dispatch/housekeeping.go
@@ -6,6 +6,7 @@
 
 	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/manifest"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/rights"
 )
 
 const (
@@ -52,7 +53,11 @@
 			e.redeclare(*declared, service.Declared)
 		}
 	}
-	e.check(now)
+	var slices []rights.Held
+	if held {
+		slices = table.Targets[e.name].Slices
+	}
+	e.check(now, slices)
 	if held {
 		e.refusesLeaving(table.Targets[e.name].Leaving, now)
 		e.connections().Warm(e.warmConnections())
@@ -102,9 +107,10 @@
 }
 
 // check expires what has run out and looks for stalls and stragglers.
-func (e *endpoint) check(now time.Time) {
+func (e *endpoint) check(now time.Time, held []rights.Held) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.rates.follow(held, now)
 	e.expire(now)
 	e.checkStall(now)
 	if now.Sub(e.rates.rolledAt) < ratePeriod {
--- a/internal/request/dispatch/rates.go
+++ b/internal/request/dispatch/rates.go
@@ -20,21 +20,27 @@
 	return sliceID{first: held.Slice.First, last: held.Slice.Last, key: held.Slice.Key, fence: held.Fence}
 }
 
-// meter measures a rate per second as a moving mean.
+// meter measures a rate per second: the plain mean at first, a moving mean
+// after that. It runs from when its slice is held and not from the first
+// request, which would take the seconds before it out of the mean.
 type meter struct {
 	count     float64
 	perSecond float64
-	rolled    bool
+	// since is the start of the present period, measured the time before it.
+	since    time.Time
+	measured time.Duration
 }
 
 // roll ends a measuring period.
-func (m *meter) roll(period time.Duration) {
-	latest := m.count / period.Seconds()
-	if !m.rolled {
-		m.perSecond, m.rolled = latest, true
+func (m *meter) roll(now time.Time) {
+	period := now.Sub(m.since)
+	if period <= 0 {
+		return
 	}
-	m.perSecond += rateWeight * (latest - m.perSecond)
-	m.count = 0
+	m.measured += period
+	weight := max(rateWeight, period.Seconds()/m.measured.Seconds())
+	m.perSecond += weight * (m.count/period.Seconds() - m.perSecond)
+	m.count, m.since = 0, now
 }
 
 // rates measures the load of one target.
@@ -50,7 +56,19 @@
 }
 
 func newRates(now time.Time) rates {
-	return rates{slices: map[sliceID]*meter{}, keys: newHeavyHitters(), occupiedSince: now, rolledAt: now}
+	return rates{requests: meter{since: now}, slices: map[sliceID]*meter{}, keys: newHeavyHitters(), occupiedSince: now, rolledAt: now}
+}
+
+// follow measures the slices that are held, and no others.
+func (r *rates) follow(held []rights.Held, now time.Time) {
+	kept := make(map[sliceID]*meter, len(held))
+	for i := range held {
+		id := sliceIDOf(&held[i])
+		if kept[id] = r.slices[id]; kept[id] == nil {
+			kept[id] = &meter{since: now}
+		}
+	}
+	r.slices = kept
 }
 
 // completed counts an answered request.
@@ -59,10 +77,9 @@
 	if key == "" {
 		return
 	}
-	if r.slices[id] == nil {
-		r.slices[id] = &meter{}
+	if m := r.slices[id]; m != nil {
+		m.count++
 	}
-	r.slices[id].count++
 	r.keys.add(key)
 }
 
@@ -72,19 +89,16 @@
 	r.occupiedSince = now
 }
 
-// roll ends a measuring period. Slices without requests are forgotten.
+// roll ends a measuring period.
 func (r *rates) roll(now time.Time) {
 	period := now.Sub(r.rolledAt)
 	if period <= 0 {
 		return
 	}
 	r.rolledAt = now
-	r.requests.roll(period)
-	for id, m := range r.slices {
-		m.roll(period)
-		if m.perSecond < 0.01 {
-			delete(r.slices, id)
-		}
+	r.requests.roll(now)
+	for _, m := range r.slices {
+		m.roll(now)
 	}
 	r.keys.decay()
 	r.busy += rateWeight * (r.occupiedSeconds/period.Seconds() - r.busy)
