Leave slices out of a report until they are measured

A slice that was moved, split off or joined has a new identity. Its dispatcher reported it at once, without load, and the controller's estimate fell towards that: the destination of a move seemed lighter than it was and was given more. A slice of less than one request a second was not reported again before the next full report, since its change was not noticeable.

A slice is reported once it has been measured for a whole period. Until then the controller keeps its own estimate. TestSlicesAreReportedOnceMeasured failed before: a slice at a new fence was reported without load.

--- a/internal/request/dispatch/loads.go
+++ b/internal/request/dispatch/loads.go
@@ -25,7 +25,8 @@
 	return loads
 }
 
-// load reports the load of one target.
+// load reports the load of one target. Slices that are not measured yet are left
+// out: reported without load, they would attract more to their target.
 func (e *endpoint) load(held *rights.Target) *peerv1.TargetLoad {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -37,7 +38,9 @@
 		Drained: held.Leaving && len(held.Slices) == 0 && e.slots.occupied() == 0 && e.inFlight.count(nil, time.Now()) == 0,
 	}
 	for i := range held.Slices {
-		load.Slices = append(load.Slices, e.sliceLoad(held.Cell, &held.Slices[i]))
+		if e.rates.measured(&held.Slices[i]) {
+			load.Slices = append(load.Slices, e.sliceLoad(held.Cell, &held.Slices[i]))
+		}
 	}
 	for _, hot := range e.rates.keys.hottest(e.rates.requests.perSecond) {
 		load.HotKeys = append(load.HotKeys, &peerv1.KeyLoad{Key: hot.key, RequestsPerSecond: float32(hot.perSecond)})
--- a/internal/request/dispatch/rates.go
+++ b/internal/request/dispatch/rates.go
@@ -105,6 +105,12 @@
 	r.occupiedSeconds = 0
 }
 
+// measured reports whether a held slice has been measured for a whole period.
+func (r *rates) measured(held *rights.Held) bool {
+	m := r.slices[sliceIDOf(held)]
+	return m != nil && m.measured >= ratePeriod
+}
+
 // slicePerSecond returns the rate of a held slice.
 func (r *rates) slicePerSecond(held *rights.Held) float64 {
 	if m := r.slices[sliceIDOf(held)]; m != nil {
--- a/internal/request/dispatch/rates_test.go
+++ b/internal/request/dispatch/rates_test.go
@@ -5,10 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/testutil/seed"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/assignment"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/manifest"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/rights"
 )
 
@@ -39,3 +41,32 @@
 	mean, sent := measured/seconds, slices*perSecond
 	assert.Assert(t, math.Abs(mean-sent) < 0.05*sent, "%.1f requests a second, measured as %.1f", sent, mean)
 }
+
+// TestSlicesAreReportedOnceMeasured: the controller keeps its own estimate of a
+// slice that has just arrived or was split off.
+func TestSlicesAreReportedOnceMeasured(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := newEndpoint(manifest.Target{Name: "t"}, &manifest.Service{}, zerolog.Nop())
+	e.rates = newRates(now)
+	held := &rights.Target{Slices: []rights.Held{
+		{Slice: assignment.Slice{First: 0, Last: 9}, Fence: 1}, {Slice: assignment.Slice{First: 10, Last: 19}, Fence: 1}}}
+	serve := func(until time.Duration) {
+		for range 10 {
+			now = now.Add(until / 10)
+			e.rates.completed(sliceIDOf(&held.Slices[1]), "key")
+			e.check(now, held.Slices)
+		}
+	}
+	e.check(now, held.Slices)
+	serve(ratePeriod)
+	assert.Equal(t, len(e.load(held).Slices), 2, "a slice without requests is measured too")
+	held.Slices[1].Fence = 2
+	e.check(now, held.Slices)
+	assert.Equal(t, len(e.load(held).Slices), 1, "the second slice has arrived anew")
+	serve(ratePeriod / 2)
+	assert.Equal(t, len(e.load(held).Slices), 1)
+	serve(2 * ratePeriod)
+	after := e.load(held).Slices
+	assert.Equal(t, len(after), 2)
+	assert.Assert(t, after[1].RequestsPerSecond > 4 && after[1].RequestsPerSecond < 20, "%v", after[1])
+}
