--- a/internal/process/coordinator/parts_test.go
+++ b/internal/process/coordinator/parts_test.go
@@ -337,7 +337,7 @@
 		life := fleet.Life{ID: "a", Born: 1}
 		k := newKeeper(map[string][]fleet.Slice{"s": {{Last: 65535, Owner: life}}}, fencesAfter(&fleet.Record{}), usualHold)
 		k.formerEnded(asked.Add(-time.Minute))
-		due := k.due(asked)[0]
+		due := k.due(asked, 0)[0]
 		due.again = again
 		k.granted(due, false, asked.Add(time.Millisecond))
 		k.ended(life, asked)
