Report small changes of slices once they add up

A slice's load is reported when it has changed by a fifth and by at least one request a second. With 20 to 30 slices of about one request a second each, what was never reported could add up to a large part of a target's load: the controller kept each slice at the value that happened to cross the threshold, or at zero.

A report now lists as many slices besides, those that have changed most, as it takes for the sum of a target's slices to be within 5% or one request a second. Placement acts on differences from a tenth.

--- a/internal/process/reporter/changes.go
+++ b/internal/process/reporter/changes.go
@@ -1,7 +1,9 @@
 package reporter
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
 )
@@ -11,6 +13,10 @@
 	noticeableShare = 0.2
 	// noticeableRate is the least change of a load, in requests per second.
 	noticeableRate = 1.0
+	// noticeableSum is the share by which the sum of a target's slices may be off.
+	// Placement relieves a target from a tenth above its fair share, so many small
+	// changes must not add up to that.
+	noticeableSum = 0.05
 	// noticeableBusy is the change of the mean number of occupied slots that is
 	// reported.
 	noticeableBusy = 0.5
@@ -28,11 +34,11 @@
 			changed = append(changed, now)
 			continue
 		}
-		slices := changedSlices(before.Slices, now.Slices)
-		if len(slices) == 0 && !targetChanged(before, now) {
+		differing := changedSlices(before.Slices, now.Slices)
+		if len(differing) == 0 && !targetChanged(before, now) {
 			continue
 		}
-		changed = append(changed, withSlices(now, slices))
+		changed = append(changed, withSlices(now, differing))
 	}
 	return changed
 }
@@ -89,18 +95,34 @@
 	return sliceKey{s.GetSlice().GetFirst(), s.GetSlice().GetLast(), s.GetSlice().GetKey(), s.Fence}
 }
 
-// changedSlices returns the slices that are new or changed noticeably.
+// changedSlices returns the slices that are new or changed noticeably, and as
+// many others as it takes for the sum to be right.
 func changedSlices(before, now []*peerv1.SliceLoad) []*peerv1.SliceLoad {
 	known := make(map[sliceKey]float32, len(before))
 	for _, s := range before {
 		known[keyOf(s)] = s.RequestsPerSecond
 	}
-	var changed []*peerv1.SliceLoad
+	growth := func(s *peerv1.SliceLoad) float64 { return float64(s.RequestsPerSecond - known[keyOf(s)]) }
+	var changed, rest []*peerv1.SliceLoad
+	total, missing := 0.0, 0.0
 	for _, s := range now {
+		total += float64(s.RequestsPerSecond)
 		if rate, ok := known[keyOf(s)]; !ok || noticeable(rate, s.RequestsPerSecond) {
 			changed = append(changed, s)
+		} else {
+			rest = append(rest, s)
+			missing += growth(s)
 		}
 	}
+	sign := math.Copysign(1, missing)
+	slices.SortStableFunc(rest, func(a, b *peerv1.SliceLoad) int { return cmp.Compare(sign*growth(b), sign*growth(a)) })
+	for _, s := range rest {
+		if sign*missing < max(noticeableRate, noticeableSum*total) {
+			break
+		}
+		changed = append(changed, s)
+		missing -= growth(s)
+	}
 	return changed
 }
 
--- a/internal/process/reporter/reporter_test.go
+++ b/internal/process/reporter/reporter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/controller"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/loop"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/seed"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/assignment"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/manifest"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/routing"
@@ -126,6 +128,51 @@
 	assert.Assert(t, f.tick(fullInterval)[0].report.Full)
 }
 
+// TestTheSumOfSmallLoadsIsKnown reports slices whose rates vary by less than
+// what is noticeable in one of them. The receiver has to know the target's load
+// closer than the tenth from which placement relieves it.
+func TestTheSumOfSmallLoadsIsKnown(t *testing.T) {
+	const count, mean = 40, 0.6
+	f, random := newFixture(t), seed.Rand(1)
+	rates, known := make([]float64, count), map[uint64]float64{}
+	f.loads = []*peerv1.TargetLoad{small(rates)}
+	listed, worst := 0, 0.0
+	for second := range 120 {
+		for _, d := range f.tick(changeInterval) {
+			for _, target := range d.report.Targets {
+				for _, s := range target.Slices {
+					known[s.Slice.First] = float64(s.RequestsPerSecond)
+					listed++
+				}
+			}
+		}
+		reported, actual := 0.0, 0.0
+		for i, rate := range rates {
+			reported += known[uint64(i)]
+			actual += rate
+		}
+		if second > 0 {
+			worst = max(worst, math.Abs(reported-actual)/actual)
+		}
+		for i := range rates {
+			rates[i] = mean * (0.5 + random.Float64())
+		}
+		f.loads = []*peerv1.TargetLoad{small(rates)}
+	}
+	assert.Assert(t, worst < 0.1, "the receiver's sum is off by %.0f%%", 100*worst)
+	assert.Assert(t, listed < count*120/4, "%d of %d loads were sent", listed, count*120)
+}
+
+// small returns the load of the target with a slice for each rate.
+func small(rates []float64) *peerv1.TargetLoad {
+	load := &peerv1.TargetLoad{Target: "t", Epoch: 1, Alive: true, Speed: 1}
+	for i, rate := range rates {
+		load.Slices = append(load.Slices, &peerv1.SliceLoad{
+			Slice: &peerv1.SliceRef{Cell: "s/0", First: uint64(i), Last: uint64(i)}, Fence: 1, RequestsPerSecond: float32(rate)})
+	}
+	return load
+}
+
 func TestProgressIsRepeatedUntilItIsGone(t *testing.T) {
 	f := newFixture(t)
 	f.tick(tickInterval)
