Leave a cold target what it bears

A few slow answers make a target cold, and it is warm again after a few seconds. Placement counted it with its cold-start limit from the first moment, one slot of four, so half of its slices were moved off and came back soon after, although about a quarter of the one slot was in use (24 requests of 10 ms).

Seen in a trace of TestAStragglerIsRelievedAndComesBack (load average 13 to 19): board-6 and board-3 were cold for four seconds each, five slices were moved off each at once ("load 25.7 of 6.9 fair on the owner"), and 71 keys moved in the ten seconds in which slices should stay.

A cold target is not relieved while no more than half of its limit is in use, by the busy slots that its dispatcher reports. It still is given no more than its share of the limit.

The test shows the decisions now when too many keys move.

--- a/internal/process/controller/reports.go
+++ b/internal/process/controller/reports.go
@@ -277,7 +277,7 @@
 func (r *reports) target(declared *manifest.Target, leaving bool) placement.Target {
 	t := placement.Target{Name: declared.Name, FailureDomain: declared.FailureDomain, Slots: declared.Slots, Leaving: leaving}
 	if known := r.targets[declared.Name]; known != nil {
-		t.Lost, t.ColdLimit = known.lost, known.coldLimit
+		t.Lost, t.ColdLimit, t.Busy = known.lost, known.coldLimit, known.busy
 		if known.speed > 0 && known.speed < slowSpeed {
 			t.Speed = known.speed
 		}
--- a/internal/version/placement/balance.go
+++ b/internal/version/placement/balance.go
@@ -256,7 +256,7 @@
 	var best *node
 	for i := range b.nodes {
 		n := &b.nodes[i]
-		if n.fair == 0 || exhausted[n.Name] {
+		if n.fair == 0 || exhausted[n.Name] || n.bearsLoad() {
 			continue
 		}
 		if best == nil || n.ratio() > best.ratio() {
--- a/internal/version/placement/placement.go
+++ b/internal/version/placement/placement.go
@@ -30,6 +30,8 @@
 	// ColdLimit is the number of requests that a cold target may have in
 	// flight; 0 means that the target is warm.
 	ColdLimit int
+	// Busy is the mean number of requests in flight.
+	Busy float64
 	// Leaving is set when the target is drained, when its failure domain is
 	// out, or when the manifest no longer has it.
 	Leaving bool
@@ -60,6 +62,15 @@
 	FailureDomain string
 }
 
+// coldHeadroom is the share of a cold target's limit up to which it bears its load.
+const coldHeadroom = 0.5
+
+// bearsLoad reports whether the target is cold and still not short of slots.
+// Cold is often over in seconds, before what was moved off could return.
+func (t *Target) bearsLoad() bool {
+	return t.ColdLimit > 0 && t.Busy <= coldHeadroom*float64(t.ColdLimit)
+}
+
 // weight is the rendezvous weight of a candidate for a purpose.
 func weight(purpose, candidate string) uint64 {
 	return xxh3.HashString(purpose + "\x00" + candidate)
--- a/internal/version/placement/trial_test.go
+++ b/internal/version/placement/trial_test.go
@@ -374,6 +374,32 @@
 	assert.Assert(t, slowMoves <= 25 && tr.moves-before <= 50)
 }
 
+// TestAShortColdSpellMovesNothing turns a target cold for three seconds, as a few
+// slow answers do. While it is not short of slots, nothing has to move; when it
+// is, it is relieved.
+func TestAShortColdSpellMovesNothing(t *testing.T) {
+	for _, spell := range []struct {
+		busy  float64
+		moves bool
+	}{{0.25, false}, {0.95, true}} {
+		targets, d := testTargets(9, 4, 3), zipf("k", 2000, 0, 200)
+		tr := newTrial(t, targets, testVMs(6, 3))
+		for range 180 {
+			tr.step(d)
+		}
+		before := tr.keysMoved
+		for range 3 {
+			tr.targets[5].ColdLimit, tr.targets[5].Busy = 1, spell.busy
+			tr.step(d)
+		}
+		tr.targets[5].ColdLimit = 0
+		for range 30 {
+			tr.step(d)
+		}
+		assert.Equal(t, tr.keysMoved > before, spell.moves, "%d keys moved with %.2f slots of one in use", tr.keysMoved-before, spell.busy)
+	}
+}
+
 // TestAFailureDomainLeavesAndReturns takes a failure domain out and back in.
 func TestAFailureDomainLeavesAndReturns(t *testing.T) {
 	targets, d := testTargets(20, 4, 4), zipf("k", trialKeys, trialExponent, trialRate)
--- a/tests/placement/straggler_test.go
+++ b/tests/placement/straggler_test.go
@@ -19,6 +19,9 @@
 	return float64((after[target]-before[target])*len(after)) / float64(total)
 }
 
+// settledKeys bounds the keys that move in 10 s once the target has recovered.
+const settledKeys = 100
+
 // TestAStragglerIsRelievedAndComesBack slows a target down to a quarter of its
 // speed and lets it recover.
 func TestAStragglerIsRelievedAndComesBack(t *testing.T) {
@@ -40,13 +43,17 @@
 	recovered, _ := b.record()
 	b.run(b.load(200, 10*time.Second, 0))
 	last, _ := b.record()
+	moved := movedKeys(ownersOf(recovered), ownersOf(last))
 	t.Logf("share of the slowed target over the mean: %.2f healthy, %.2f in the first 15 s, %.2f after, %.2f at last; p99 %.1f, %.1f, %.1f ms; keys moved: %d on recovery, %d in the 10 s after",
 		shareOf(slow, start, before), shareOf(slow, before, middle), shareOf(slow, middle, after), shareOf(slow, later, b.executed()),
 		percentile(healthy, 99), percentile(first, 99), percentile(relieved, 99),
-		movedKeys(ownersOf(slowed), ownersOf(recovered)), movedKeys(ownersOf(recovered), ownersOf(last)))
+		movedKeys(ownersOf(slowed), ownersOf(recovered)), moved)
+	if moved >= settledKeys {
+		b.explain()
+	}
 	assert.Assert(t, shareOf(slow, middle, after) < 0.6, "the straggler is not relieved")
 	assert.Assert(t, shareOf(slow, later, b.executed()) > 0.6, "the target does not get its load back")
-	assert.Assert(t, movedKeys(ownersOf(recovered), ownersOf(last)) < 100, "slices move on under constant load")
+	assert.Assert(t, moved < settledKeys, "slices move on under constant load")
 	assert.Equal(t, answered(relieved), relieved.Sent, "%s", refused(relieved))
 }
 
