Close idle connections that no request will use again

Callers saw nothing of it; targets and VMs did. On the users' platform a pool looked at an idle connection only when a request was to use it, and requests take the one that was used last. So the others stayed open past their 8 s, also after the target had closed them, and a target that sends bytes without end on an idle connection went on until the kernel's buffers were full: memory of the VM, and one of the target's connections, for as long as the target lives.

Cause: only the dispatcher's housekeeping closed such connections, which serve does not run.

The pools now look at idle connections every 2 s.

--- a/internal/connection/target/pool.go
+++ b/internal/connection/target/pool.go
@@ -79,7 +79,7 @@
 // are open. It is called repeatedly; it also closes idle connections that the
 // target has closed.
 func (p *Pool) Warm(want int) {
-	p.closeStale()
+	p.CloseStale()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.warming || !p.wantsMore(want) || time.Now().Before(p.warmFrom) {
@@ -172,8 +172,10 @@
 	return found
 }
 
-// closeStale closes idle connections that can no longer be used.
-func (p *Pool) closeStale() {
+// CloseStale closes idle connections that can no longer be used: those that the
+// target has closed or has sent bytes on, and those past their time. A pool looks
+// at a connection by itself only when a request is to use it.
+func (p *Pool) CloseStale() {
 	p.mu.Lock()
 	var bad []*connection
 	kept := p.idle[:0]
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -237,6 +237,7 @@
 	group, parts := errgroup.WithContext(parts)
 	group.Go(func() error { g.loop.Run(parts); return nil })
 	group.Go(func() error { return g.transport.Run(parts) })
+	group.Go(func() error { g.pools.Run(parts); return nil })
 	group.Go(func() error {
 		if err := g.callers.Serve(g.listeners["callers"]); err != caller.ErrStopped {
 			return err
--- a/internal/request/forward/pools.go
+++ b/internal/request/forward/pools.go
@@ -2,14 +2,22 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
-// connectionsPerTarget bounds the connections of this VM to one target.
-const connectionsPerTarget = 16
+const (
+	// connectionsPerTarget bounds the connections of this VM to one target.
+	connectionsPerTarget = 16
+	// closeStaleEvery is the interval at which idle connections are looked at, well
+	// within the time for which they stay open.
+	closeStaleEvery = 2 * time.Second
+)
 
 // Pools holds the connections to all targets. A pool belongs to one life of a
 // target.
@@ -27,6 +35,25 @@
 	return &Pools{form: form, pools: map[fleet.Life]*target.Pool{}, idle: map[string]*target.IdleLimit{}}
 }
 
+// Run closes idle connections that can no longer be used, until the context ends.
+func (p *Pools) Run(ctx context.Context) {
+	ticks := time.NewTicker(closeStaleEvery)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+		}
+		p.mu.Lock()
+		pools := slices.Collect(maps.Values(p.pools))
+		p.mu.Unlock()
+		for _, pool := range pools {
+			pool.CloseStale()
+		}
+	}
+}
+
 // reserve returns a connection to a target.
 func (p *Pools) reserve(ctx context.Context, t *fleet.Target) (*target.Exchange, error) {
 	p.mu.Lock()
--- a/internal/testutil/fencetarget/fencetarget.go
+++ b/internal/testutil/fencetarget/fencetarget.go
@@ -29,7 +29,8 @@
 	// "silent" or "early"; "refusal", "refusal-parts" and "refusal-only" write an
 	// earlier refusal once more and "refusal-cut" the beginning of one, "unstated"
 	// answers 503 without a word that the request did not run, "head" stops in the
-	// head, and "endless" and "endless-chunked" write a body until the caller closes.
+	// head, "endless" and "endless-chunked" write a body until the caller closes, and
+	// "babble" does so soon after a whole answer.
 	Fault func(r *http.Request) string
 }
 
@@ -281,6 +282,11 @@
 		writeOn(conn, strings.Replace(message(attempt, "", false), "\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n", 1),
 			"1000\r\n"+strings.Repeat("x", 4<<10)+"\r\n")
 		return
+	case "babble":
+		_, _ = io.WriteString(conn, text)
+		time.Sleep(50 * time.Millisecond)
+		writeOn(conn, "", strings.Repeat("x", 4<<10))
+		return
 	case "unframed":
 		text = message(attempt, Body(t.ID, attempt), false)
 	case "unframed-reset":
--- a/tests/platform/platform_test.go
+++ b/tests/platform/platform_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,6 +36,8 @@
 	applyBound = 2 * time.Second
 	// stopBound is the time from SIGTERM to SIGKILL.
 	stopBound = 6 * time.Second
+	// idleBound is the time after which servers close idle connections.
+	idleBound = 10 * time.Second
 )
 
 // start runs some VMs with three servers of each service.
@@ -336,3 +339,33 @@
 	assert.Equal(t, len(failures(load.end())), 0)
 	assert.Equal(t, len(impostor.Runs()), 0)
 }
+
+// TestIdleConnectionWithBytesWithoutEndIsClosed although no request uses it again.
+func TestIdleConnectionWithBytesWithoutEndIsClosed(t *testing.T) {
+	d := start(t, 1)
+	var asked atomic.Pointer[http.Request]
+	server := fencetarget.New(fencetarget.Settings{ID: "free-0", Fault: func(r *http.Request) string {
+		if asked.CompareAndSwap(nil, r) {
+			return "babble"
+		}
+		return ""
+	}})
+	closed := make(chan struct{})
+	d.Target("free-0").Link.Redirect(startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		server.ServeHTTP(w, r)
+		if asked.Load() == r {
+			close(closed)
+		}
+	})))
+	caller := d.VMs[0].Caller()
+	defer caller.Close()
+	for asked.Load() == nil {
+		r := caller.Send(t.Context(), http.MethodGet, "/read/x", 0, nil)
+		assert.Assert(t, r.Err == nil && r.Whole, "%v", r)
+	}
+	select {
+	case <-closed:
+	case <-time.After(idleBound):
+		t.Fatal("the connection is still open")
+	}
+}
