Close the connection in the test before waiting for its end

Cause: whether the bytes beyond the answer have come when the connection becomes idle is left to chance. If they come later, the pool closes the connection when it next looks at it, and the test made it look only after the wait for the close. It now does so before.

--- a/internal/connection/target/hostile_test.go
+++ b/internal/connection/target/hostile_test.go
@@ -144,11 +144,11 @@
 	_, body, err := exchangeOnce(testContext(t), t, pool, newRequest("a", "", ""))
 	assert.NilError(t, err)
 	assert.Equal(t, body, "a")
-	<-ended
 	eventually(t, func() bool {
-		pool.Warm(0)
+		pool.CloseStale()
 		return pool.Open() == 0
 	}, "the connection is kept")
+	<-ended
 }
 
 // TestBytesBeyondTheProbeSendNoRequest: what is sent behind them would be lost.
