--- a/internal/process/coordinator/former_test.go
+++ b/internal/process/coordinator/former_test.go
@@ -51,3 +51,35 @@
 	}
 	return false
 }
+
+// TestReleaseWaitsForAGrantOnItsWay: a target answers a release, ends and starts again under its id, while the connection of a grant that was sent before is being opened.
+func TestReleaseWaitsForAGrantOnItsWay(t *testing.T) {
+	for after := time.Duration(0); after < 500*time.Millisecond; after += 50 * time.Millisecond {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			run(t, seed.Value, 4, 5, func(w *world) {
+				w.servedWithin(2 * time.Second)
+				time.Sleep(3 * time.Second)
+				w.set(func() { w.openings["t2:1"] = 580 * time.Millisecond })
+				w.loseConnections("t2")
+				w.awaitOpening("t2:1", 2*time.Second)
+				w.leaveTarget("t2")
+				time.Sleep(after)
+				w.awaitRelease("t2", 4*time.Second)
+				w.startAt("t2", "t2")
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
+// awaitOpening waits until a connection to an address is being opened.
+func (w *world) awaitOpening(address string, within time.Duration) {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		opening := 0
+		w.set(func() { opening = w.opening[address] })
+		if opening > 0 {
+			return
+		}
+	}
+	w.set(func() { w.problem("no connection to %s was opened within %s", address, within) })
+}
--- a/internal/process/coordinator/target_test.go
+++ b/internal/process/coordinator/target_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"syscall"
 	"time"
 
@@ -97,6 +98,7 @@
 	}
 	if !again {
 		process = nil
+		w.open(ctx, to.Address)
 	}
 	return n.order(ctx, to, process, func(target *fakeTarget, arrived time.Time) error {
 		err := w.grant(target, slice, arrived.Add(hold), time.Since(arrived) > 0)
@@ -160,6 +162,28 @@
 	return apply(target, time.Now())
 }
 
+// open takes the time that the opening of a connection to an address takes.
+func (w *world) open(ctx context.Context, address string) {
+	w.mu.Lock()
+	takes := w.openings[address]
+	w.opening[address]++
+	w.mu.Unlock()
+	select {
+	case <-time.After(takes):
+	case <-ctx.Done():
+	}
+	w.set(func() { w.opening[address]-- })
+}
+
+// loseConnections ends the connections over which a target took its fences.
+func (w *world) loseConnections(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range w.nodes {
+		maps.DeleteFunc(n.taken, func(_ uint64, taken *fakeTarget) bool { return taken.ID == id })
+	}
+}
+
 // awaitSuccessor waits while the target at an address has ended without a word: an
 // opening packet that nobody answers is sent again.
 func (w *world) awaitSuccessor(ctx context.Context, address string) {
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -43,6 +43,10 @@
 	cut map[string]bool
 	// refused holds pairs whose connections are refused although both run.
 	refused map[string]bool
+	// openings is how long a connection for a new grant to a target takes to be opened;
+	// opening counts those that are.
+	openings map[string]time.Duration
+	opening  map[string]int
 	// outage stops the store for everybody.
 	outage bool
 	// loseAnswers is the share of writes whose answers are lost.
@@ -95,6 +99,7 @@
 	w := &world{
 		t: t, began: time.Now(), random: rand.New(rand.NewPCG(seed, 7)), memory: store.NewMemory(), nodes: map[string]*node{},
 		targets: map[string]*fakeTarget{}, cut: map[string]bool{}, refused: map[string]bool{}, waiting: map[uint64]chan *peerv1.Control{},
+		openings: map[string]time.Duration{}, opening: map[string]int{},
 	}
 	config := fleet.Config{Version: 1, Services: []fleet.Service{{Name: service, Keyed: true}}}
 	w.put("config/main", config)
