Take a report for what it answers, not for when it arrives

Callers would have seen two targets serve a key (OWNER): a leader that was cut off from the store and the other VMs, and had been replaced for seconds, got through to some VMs again and received the reports that they had sent to it before they turned to the next leader. TCP delivers what a partition has held up. The leader counted these reports as of their arrival, so that most VMs seemed to follow it, and for 2 s renewed grants at targets that the next leader could not reach, whose keys that had given away once the grants had run out. The VMs ignore what a lower term says, and do not answer.

Cause: time taken for proof. A report of up to 0.15 s on its way was allowed for; nothing bounds that time.

Each state that a leader sends now bears the leader's uptime, and reports repeat that of the last one that was taken. A VM followed this leader after that time, whenever its report arrives. The allowance is gone. A report counts as one interval older than before (0.25 s, 0.5 s in a large fleet), of the 2 s for which a leader acts.

--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -97,6 +97,8 @@
 	storeFailedAt time.Time
 	have          *peerv1.PartVersions
 	lookAt        time.Time
+	// heardMillis is the leader's time of the last state that was taken from it; 0 if none was.
+	heardMillis uint64
 	// heardWrite is the leader's last write of the record by its own word.
 	heardWrite uint64
 	// seenRevision is the record's revision when it was last read, seenSince when
--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -17,13 +18,7 @@
 
 // leader returns the name of the VM that leads, and how many VMs do.
 func (w *world) leader() (name string, count int) {
-	w.mu.Lock()
-	nodes := make([]*node, 0, len(w.nodes))
-	for _, n := range w.nodes {
-		nodes = append(nodes, n)
-	}
-	w.mu.Unlock()
-	for _, n := range nodes {
+	for _, n := range w.running() {
 		leads := false
 		if n.loop.Call(func() { leads = n.coordinator.Leads() }) && leads {
 			name = n.name
@@ -33,6 +28,13 @@
 	return name, count
 }
 
+// running returns the nodes that run.
+func (w *world) running() []*node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Values(w.nodes))
+}
+
 // servedWithin waits until all keys are held and returns how long that took.
 func (w *world) servedWithin(limit time.Duration) time.Duration {
 	began := time.Now()
@@ -491,14 +493,15 @@
 
 // TestRandomWorlds plays faults in series and at once: killed, frozen and cut
 // VMs, targets that end, fall silent, leave and start again, a store that is
-// down, loses answers or turns VMs away, and orders that are carried out late.
+// down, loses answers or turns VMs away, orders that are carried out late, messages
+// that partitions hold up, and connections that take long to be opened.
 // No key may ever have two owners, and all are held once the faults are over.
 func TestRandomWorlds(t *testing.T) {
 	for i := range *randomWorlds {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
 			t.Parallel()
 			run(t, seed.Value+i, 4, 5, func(w *world) {
-				w.set(func() { w.fencesOfAll = true })
+				w.set(func() { w.fencesOfAll, w.holdsBack = true, true })
 				w.servedWithin(2 * time.Second)
 				for range 20 {
 					w.randomFault()
@@ -520,7 +523,7 @@
 		}
 	}
 	for2s := time.Duration(500+w.draw(4000)) * time.Millisecond
-	kind := w.draw(17)
+	kind := w.draw(19)
 	w.set(func() { w.note("fault %d, %s, %s, %s", kind, name, id, for2s) })
 	switch kind {
 	case 0:
@@ -581,6 +584,14 @@
 	case 16:
 		w.fallSilent(id)
 		time.AfterFunc(for2s/2, func() { w.register(id, id) })
+	case 17:
+		opening := time.Duration(w.draw(600)) * time.Millisecond
+		w.set(func() { w.openings[id+":1"] = opening })
+		time.AfterFunc(for2s, func() { w.set(func() { delete(w.openings, id+":1") }) })
+		w.loseConnections(id)
+	case 18:
+		w.leaveTarget(id)
+		time.AfterFunc(for2s/2, func() { w.register(id, id) })
 	case 12, 13:
 		w.cutDomain(domainOf(id), 4, 5, kind == 12, true)
 		time.AfterFunc(for2s, func() { w.cutDomain(domainOf(id), 4, 5, kind == 12, false) })
--- a/internal/process/coordinator/former_test.go
+++ b/internal/process/coordinator/former_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -83,3 +84,51 @@
 	}
 	w.set(func() { w.problem("no connection to %s was opened within %s", address, within) })
 }
+
+// TestReportsThatWereHeldUpConfirmNobody: a leader that was cut off has been replaced, and gets the reports that others sent to it before.
+func TestReportsThatWereHeldUpConfirmNobody(t *testing.T) {
+	for i := range uint64(6) {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			run(t, seed.Value+i, 5, 6, func(w *world) {
+				w.servedWithin(2 * time.Second)
+				time.Sleep(3*time.Second + time.Duration(i)*110*time.Millisecond)
+				w.set(func() { w.holdsBack = true })
+				first, _ := w.leader()
+				w.cutFor(20*time.Second, first+">store")
+				others := slices.DeleteFunc(everybody(5, 0), func(name string) bool { return name == first })
+				w.set(func() {
+					for _, name := range others {
+						w.cut[first+">"+name], w.cut[name+">"+first] = true, true
+					}
+				})
+				for _, name := range others {
+					w.cutFor(20*time.Second, name+">t2")
+				}
+				second := w.awaitLeaderBesides(first, 3*time.Second)
+				w.leaveTarget("t2")
+				time.Sleep(8 * time.Second)
+				for _, name := range others {
+					if name != second {
+						w.cutFor(0, first+">"+name)
+						w.cutFor(0, name+">"+first)
+					}
+				}
+				time.Sleep(6 * time.Second)
+			})
+		})
+	}
+}
+
+// awaitLeaderBesides waits until another VM leads and returns its name.
+func (w *world) awaitLeaderBesides(first string, within time.Duration) string {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for _, n := range w.running() {
+			leads := false
+			if n.name != first && n.loop.Call(func() { leads = n.coordinator.Leads() }) && leads {
+				return n.name
+			}
+		}
+	}
+	w.set(func() { w.problem("no VM besides %s leads after %s", first, within) })
+	return ""
+}
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -23,9 +23,6 @@
 	// orders: what waits in its connections is from before.
 	stall      = 600 * time.Millisecond
 	afterStall = 300 * time.Millisecond
-	// reportOnWay is how old the report of a VM may be when it arrives, half of
-	// afterStall.
-	reportOnWay = afterStall / 2
 	// storeLostAfter is the time without an answer of the store after which the
 	// leader asks for another.
 	storeLostAfter = 1200 * time.Millisecond
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -66,7 +66,7 @@
 	c.reportAt = now.Add(c.reportInterval())
 	c.config.Sender.Send(c.view.Leader.VM, &peerv1.Control{Kind: &peerv1.Control_MemberReport{MemberReport: &peerv1.MemberReport{
 		Term: c.view.Term, Address: c.config.Self.Address, ProcessorMillis: c.config.Self.Processor,
-		FailureDomain: c.config.Self.FailureDomain, Have: proto.Clone(c.have).(*peerv1.PartVersions),
+		FailureDomain: c.config.Self.FailureDomain, Have: proto.Clone(c.have).(*peerv1.PartVersions), HeardMillis: c.heardMillis,
 	}}})
 }
 
@@ -99,7 +99,7 @@
 	view.Term = state.Term
 	view.Leader = memberFromWire(state.Leader)
 	c.heard(now)
-	c.heardWrite, c.repeats = state.RecordWrite, state.Repeats
+	c.heardMillis, c.heardWrite, c.repeats = state.SentMillis, state.RecordWrite, state.Repeats
 	c.lacksStore = state.StoreLost && !state.Leaving
 	c.yielding = state.StoreLost || state.Leaving || state.Outranked && outranks(c.config.Self, view.Leader)
 	if changed {
@@ -324,7 +324,7 @@
 func (c *Coordinator) follow(record *fleet.Record, now time.Time) {
 	view := *c.view
 	view.Term, view.Leader = record.Term, record.Leader
-	c.yielding, c.heardWrite = false, record.Write
+	c.yielding, c.heardMillis, c.heardWrite = false, 0, record.Write
 	if c.heardAt.Before(now.Add(-silentAfter)) {
 		// The new leader gets the time of a silent one to answer.
 		c.heardAt = now.Add(-silentAfter / 2)
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -21,7 +21,8 @@
 	fleet.Member
 	// joinedAt is when the leader first heard of the VM.
 	joinedAt, heardAt time.Time
-	// followedAt is the uptime at which the VM last said that it follows this one.
+	// followedAt is the uptime since which the VM last said that it follows this one: when
+	// what it has heard was sent. Its reports may be held up for as long as a partition lasts.
 	followedAt time.Duration
 	term       uint64
 	// sent are the versions that were last sent, at sentAt; nil until the VM has
@@ -86,7 +87,7 @@
 	state := &peerv1.FleetState{
 		Term: l.record.Term, Leader: identity(c.config.Self), Versions: l.parts.versions(now),
 		StoreLost: l.storeLost, Leaving: c.leaving, Outranked: l.outranked, RecordWrite: l.record.Write,
-		Repeats: c.presentRepeats(now),
+		Repeats: c.presentRepeats(now), SentMillis: uint64(c.config.Uptime().Milliseconds()),
 	}
 	if m.sent != nil {
 		c.addParts(state, m, now)
@@ -186,7 +187,10 @@
 		l.members[from.VM] = m
 		c.membersChanged()
 	}
-	m.heardAt, m.followedAt, m.term = now, c.config.Uptime(), report.Term
+	m.heardAt, m.term = now, report.Term
+	if report.Term == l.record.Term {
+		m.followedAt = max(m.followedAt, time.Duration(report.HeardMillis)*time.Millisecond)
+	}
 	if m.sent == nil || now.Sub(m.sentAt) > resendAfter {
 		m.sent = &peerv1.PartVersions{}
 		if report.Have != nil {
--- a/internal/process/coordinator/record.go
+++ b/internal/process/coordinator/record.go
@@ -52,7 +52,7 @@
 	now := c.config.Uptime()
 	following := 1
 	for _, m := range l.members {
-		if m.term == l.record.Term && now-m.followedAt < authority && m.followedAt >= l.stalledAt+reportOnWay {
+		if m.term == l.record.Term && now-m.followedAt < authority && m.followedAt > l.stalledAt {
 			following++
 		}
 	}
@@ -66,7 +66,7 @@
 	var followed []time.Duration
 	for _, m := range l.members {
 		if m.term == l.record.Term {
-			followed = append(followed, m.followedAt-reportOnWay)
+			followed = append(followed, m.followedAt)
 		}
 	}
 	most := (l.others() + 1) / 2
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -43,6 +43,8 @@
 	cut map[string]bool
 	// refused holds pairs whose connections are refused although both run.
 	refused map[string]bool
+	// holdsBack keeps what VMs send each other over a path that is cut until it heals.
+	holdsBack bool
 	// openings is how long a connection for a new grant to a target takes to be opened;
 	// opening counts those that are.
 	openings map[string]time.Duration
@@ -290,8 +292,33 @@
 	return n.linkFree.Sub(now)
 }
 
+// awaitPath waits with a message until a cut has healed, if the world holds back what
+// was sent, also by processes that have ended. Messages keep their order.
+func (w *world) awaitPath(from *node, to string) bool {
+	w.mu.Lock()
+	holds := w.holdsBack && !w.refused[from.name+">"+to]
+	w.calls++
+	place := time.Duration(w.calls) * time.Nanosecond
+	w.mu.Unlock()
+	for limit := time.Now().Add(heldLongest); holds && time.Now().Before(limit); {
+		time.Sleep(heldStep - time.Since(w.began)%heldStep)
+		if w.path(from.name, to) {
+			time.Sleep(place)
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// heldStep is the interval at which messages that are held back look at the path;
+	// after heldLongest they are lost.
+	heldStep    = 20 * time.Millisecond
+	heldLongest = 12 * time.Second
+)
+
 func (w *world) deliver(from *node, to string, message *peerv1.Control) {
-	if !w.path(from.name, to) {
+	if !w.path(from.name, to) && !w.awaitPath(from, to) {
 		return
 	}
 	if message.ReplyTo != 0 {
