Send another fence only while the leader was confirmed lately

Callers would have seen two targets serve a key (OWNER): a leader whose connection to a target was gone gave the slice another fence and waited until the store had confirmed it. The store's answer was 1.4 s on its way. Meanwhile another VM led, the target released its keys to it and started again under its id, and then took the former leader's fence.

Cause: a confirmation that began after the loss of the connection was taken to hold whenever it arrives.

It now counts for two intervals of the VMs' reports: 0.5 s, 1 s in a large fleet, which is how old reports are that confirm a leader without the store. What remains is a grant that is sent within this time or under way (0.6 s) while another leader takes over, moves the keys, which takes it 0.3 s at least, and the target starts again; nothing ends that but a wait after each change of the leader.

TestLostConnectionsOverAnOutage guards what the bound could cost: without the store, at 5 and 50 VMs, no key is without an owner after all connections are lost.

--- a/internal/process/coordinator/former_test.go
+++ b/internal/process/coordinator/former_test.go
@@ -132,3 +132,49 @@
 	w.set(func() { w.problem("no VM besides %s leads after %s", first, within) })
 	return ""
 }
+
+// TestLateAnswerOfTheStoreConfirmsNobody: a leader learns late that the record had no other leader yet, and has another by then.
+func TestLateAnswerOfTheStoreConfirmsNobody(t *testing.T) {
+	for after := time.Duration(0); after < 2*time.Second; after += 100 * time.Millisecond {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			run(t, seed.Value, 5, 6, func(w *world) {
+				w.servedWithin(2 * time.Second)
+				time.Sleep(3 * time.Second)
+				first, _ := w.leader()
+				w.set(func() { w.answersTake[first] = 1400 * time.Millisecond })
+				time.Sleep(after)
+				w.loseConnections("t2")
+				for _, name := range everybody(5, 0) {
+					if name != first {
+						w.cutFor(20*time.Second, first+">"+name)
+						w.cutFor(20*time.Second, name+">"+first)
+					}
+				}
+				w.awaitLeaderBesides(first, 4*time.Second)
+				w.leaveTarget("t2")
+				w.awaitRelease("t2", 4*time.Second)
+				w.startAt("t2", "t2")
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
+// TestLostConnectionsOverAnOutage: without the store, the reports of the VMs confirm a leader that needs other fences.
+func TestLostConnectionsOverAnOutage(t *testing.T) {
+	for _, vms := range []int{5, 50} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			run(t, seed.Value, vms, 6, func(w *world) {
+				w.servedWithin(2 * time.Second)
+				time.Sleep(3 * time.Second)
+				w.set(func() { w.outage = true })
+				time.Sleep(3 * time.Second)
+				for _, id := range everybody(0, 6) {
+					w.loseConnections(id)
+				}
+				gap := w.longestGap(10 * time.Second)
+				w.check(gap == 0, "a key was held by nobody for %s", gap)
+			})
+		})
+	}
+}
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -56,15 +56,25 @@
 
 // carryOutDue sends the orders that are due.
 func (c *Coordinator) carryOutDue(now time.Time) {
-	k, confirmed := c.lead.keeper, c.lead.confirmedAt
+	k, confirmed := c.lead.keeper, time.Duration(0)
 	if len(k.awaits) > 0 {
-		confirmed = c.confirmedAt()
+		confirmed = c.confirmedLately()
 	}
 	for _, t := range k.due(now, confirmed) {
 		c.carryOut(t)
 	}
 }
 
+// confirmedLately is confirmedAt, or 0 if that is older than reports usually are: an answer
+// of the store may be so late that another leader has moved keys away meanwhile.
+func (c *Coordinator) confirmedLately() time.Duration {
+	at := c.confirmedAt()
+	if c.config.Uptime()-at > 2*c.reportInterval() {
+		return 0
+	}
+	return at
+}
+
 // planMoves looks for the first service whose keys should move and writes the
 // moves, once the declarations have settled.
 func (c *Coordinator) planMoves(now time.Time) {
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -51,6 +51,8 @@
 	opening  map[string]int
 	// outage stops the store for everybody.
 	outage bool
+	// answersTake is how long answers to the writes of a node are on their way.
+	answersTake map[string]time.Duration
 	// loseAnswers is the share of writes whose answers are lost.
 	loseAnswers float64
 	// lateOrders is the share of orders that are not answered and applied late.
@@ -101,7 +103,7 @@
 	w := &world{
 		t: t, began: time.Now(), random: rand.New(rand.NewPCG(seed, 7)), memory: store.NewMemory(), nodes: map[string]*node{},
 		targets: map[string]*fakeTarget{}, cut: map[string]bool{}, refused: map[string]bool{}, waiting: map[uint64]chan *peerv1.Control{},
-		openings: map[string]time.Duration{}, opening: map[string]int{},
+		answersTake: map[string]time.Duration{}, openings: map[string]time.Duration{}, opening: map[string]int{},
 	}
 	config := fleet.Config{Version: 1, Services: []fleet.Service{{Name: service, Keyed: true}}}
 	w.put("config/main", config)
@@ -410,7 +412,12 @@
 		}()
 		return 0, fault.New(fault.UnknownOutcome, "read back", "no answer")
 	}
-	return w.memory.Put(ctx, name, value, expected)
+	version, err := w.memory.Put(ctx, name, value, expected)
+	w.mu.Lock()
+	takes := w.answersTake[s.node.name]
+	w.mu.Unlock()
+	time.Sleep(takes)
+	return version, err
 }
 
 func (s nodeStore) Delete(ctx context.Context, name string, expected int64) error {
