Take the orders of a leader back when it steps down

Callers would have seen two targets serve a key (OWNER): a leader left the lead, as at each planned restart, while the connection of a grant was being opened. Within 0.6 s its successor took the keys from the target, which answered the release, and the target started again under its id and took the former leader's grant.

Cause: an order that was sent for a leadership outlived it.

Orders now end with the leadership: their connections are reset as soon as the leader hears of the next one. What remains is a leader that does not hear of it.

--- a/internal/process/coordinator/former_test.go
+++ b/internal/process/coordinator/former_test.go
@@ -178,3 +178,26 @@
 		})
 	}
 }
+
+// TestLeaderThatStepsDownTakesItsOrdersBack: a grant of it is under way while its successor moves the keys, and the target starts again.
+func TestLeaderThatStepsDownTakesItsOrdersBack(t *testing.T) {
+	for after := time.Duration(0); after < 200*time.Millisecond; after += 20 * time.Millisecond {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			run(t, seed.Value, 5, 6, func(w *world) {
+				w.servedWithin(2 * time.Second)
+				time.Sleep(3 * time.Second)
+				first, _ := w.leader()
+				w.set(func() { w.openings[first+">t2:1"] = 590 * time.Millisecond })
+				w.loseConnections("t2")
+				w.awaitOpening("t2:1", 2*time.Second)
+				time.Sleep(after)
+				w.nodes[first].loop.Post(w.nodes[first].coordinator.Leave)
+				w.awaitLeaderBesides(first, time.Second)
+				w.leaveTarget("t2")
+				w.awaitRelease("t2", 4*time.Second)
+				w.startAt("t2", "t2")
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -229,7 +229,7 @@
 	target := *known
 	go func() {
 		began := time.Now()
-		handover, err := c.send(t, target)
+		handover, err := c.send(l.orders, t, target)
 		c.config.Loop.Post(func() {
 			if c.lead == l {
 				c.orderDone(t, handover, err, began)
@@ -238,13 +238,13 @@
 	}()
 }
 
-func (c *Coordinator) send(t task, target fleet.Target) (string, error) {
+func (c *Coordinator) send(ctx context.Context, t task, target fleet.Target) (string, error) {
 	if t.release {
-		ctx, cancel := context.WithTimeout(c.ctx, releaseTimeout)
+		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
 		return c.config.Targets.Release(ctx, target, t.slice)
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, grantTimeout)
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
 	return "", c.config.Targets.Grant(ctx, target, t.slice, t.again, c.hold(), t.handover)
 }
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"time"
 
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
@@ -44,8 +45,11 @@
 	record   fleet.Record
 	revision int64
 	keeper   *keeper
-	members  map[string]*member
-	parts    *parts
+	// orders is the context of the orders to targets; stop ends it.
+	orders  context.Context
+	stop    context.CancelFunc
+	members map[string]*member
+	parts   *parts
 
 	// confirmedAt is the uptime at which the store last showed that this VM leads.
 	confirmedAt time.Duration
@@ -104,6 +108,7 @@
 				return
 			}
 			c.lead = newLeadership(record, version, given, formerEnded, c.view, c.hold(), time.Now())
+			c.lead.orders, c.lead.stop = context.WithCancel(c.ctx)
 			c.lead.confirmedAt, c.lead.tickedAt = began, c.config.Uptime()
 			c.beginLeading(why, former)
 		})
@@ -156,12 +161,14 @@
 	c.pushAll()
 }
 
-// stepDown ends the leadership.
+// stepDown ends the leadership. What is under way to targets must not reach them after
+// the next leader's orders.
 func (c *Coordinator) stepDown(why string) {
 	if c.lead == nil {
 		return
 	}
 	events.LeadershipLost.Log(c.config.Logger).Uint64("term", c.lead.record.Term).Str("reason", why).Send()
+	c.lead.stop()
 	c.lead = nil
 	c.observer.Stop()
 	c.heardAt = time.Now().Add(-silentAfter)
--- a/internal/process/coordinator/target_test.go
+++ b/internal/process/coordinator/target_test.go
@@ -98,7 +98,9 @@
 	}
 	if !again {
 		process = nil
-		w.open(ctx, to.Address)
+		if w.open(ctx, n.name, to.Address); ctx.Err() != nil {
+			return fault.New(fault.UnknownOutcome, "repeat", "no connection")
+		}
 	}
 	return n.order(ctx, to, process, func(target *fakeTarget, arrived time.Time) error {
 		err := w.grant(target, slice, arrived.Add(hold), time.Since(arrived) > 0)
@@ -163,9 +165,9 @@
 }
 
 // open takes the time that the opening of a connection to an address takes.
-func (w *world) open(ctx context.Context, address string) {
+func (w *world) open(ctx context.Context, from, address string) {
 	w.mu.Lock()
-	takes := w.openings[address]
+	takes := max(w.openings[address], w.openings[from+">"+address])
 	w.opening[address]++
 	w.mu.Unlock()
 	select {
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -45,8 +45,8 @@
 	refused map[string]bool
 	// holdsBack keeps what VMs send each other over a path that is cut until it heals.
 	holdsBack bool
-	// openings is how long a connection for a new grant to a target takes to be opened;
-	// opening counts those that are.
+	// openings is how long a connection for a new grant to an address takes to be opened,
+	// or one "from>to"; opening counts those that are, by address.
 	openings map[string]time.Duration
 	opening  map[string]int
 	// outage stops the store for everybody.
