--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -494,7 +494,8 @@
 // TestRandomWorlds plays faults in series and at once: killed, frozen and cut
 // VMs, targets that end, fall silent, leave and start again, a store that is
 // down, loses answers or turns VMs away, orders that are carried out late, messages
-// that partitions hold up, and connections that take long to be opened.
+// that partitions hold up, connections that take long to be opened, answers of the store
+// that come late, and VMs that leave.
 // No key may ever have two owners, and all are held once the faults are over.
 func TestRandomWorlds(t *testing.T) {
 	for i := range *randomWorlds {
@@ -523,7 +524,7 @@
 		}
 	}
 	for2s := time.Duration(500+w.draw(4000)) * time.Millisecond
-	kind := w.draw(19)
+	kind := w.draw(21)
 	w.set(func() { w.note("fault %d, %s, %s, %s", kind, name, id, for2s) })
 	switch kind {
 	case 0:
@@ -592,6 +593,19 @@
 	case 18:
 		w.leaveTarget(id)
 		time.AfterFunc(for2s/2, func() { w.register(id, id) })
+	case 19:
+		w.mu.Lock()
+		n := w.nodes[name]
+		w.mu.Unlock()
+		if n != nil {
+			n.loop.Post(n.coordinator.Leave)
+			time.AfterFunc(for2s/3, func() { w.killNode(name) })
+			time.AfterFunc(for2s/2, func() { w.restartNode(name) })
+		}
+	case 20:
+		takes := time.Duration(w.draw(1400)) * time.Millisecond
+		w.set(func() { w.answersTake[name] = takes })
+		time.AfterFunc(for2s, func() { w.set(func() { delete(w.answersTake, name) }) })
 	case 12, 13:
 		w.cutDomain(domainOf(id), 4, 5, kind == 12, true)
 		time.AfterFunc(for2s, func() { w.cutDomain(domainOf(id), 4, 5, kind == 12, false) })
