--- a/internal/process/coordinator/former_test.go
+++ b/internal/process/coordinator/former_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,3 +52,152 @@
 	}
 	return false
 }
+
+// TestReleaseWaitsForAGrantOnItsWay: a target answers a release, ends and starts again under its id, while the connection of a grant that was sent before is being opened.
+func TestReleaseWaitsForAGrantOnItsWay(t *testing.T) {
+	for after := time.Duration(0); after < 500*time.Millisecond; after += 50 * time.Millisecond {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			run(t, seed.Value, 4, 5, func(w *world) {
+				w.servedWithin(2 * time.Second)
+				time.Sleep(3 * time.Second)
+				w.set(func() { w.openings["t2:1"] = 580 * time.Millisecond })
+				w.loseConnections("t2")
+				w.awaitOpening("t2:1", 2*time.Second)
+				w.leaveTarget("t2")
+				time.Sleep(after)
+				w.awaitRelease("t2", 4*time.Second)
+				w.startAt("t2", "t2")
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
+// awaitOpening waits until a connection to an address is being opened.
+func (w *world) awaitOpening(address string, within time.Duration) {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		opening := 0
+		w.set(func() { opening = w.opening[address] })
+		if opening > 0 {
+			return
+		}
+	}
+	w.set(func() { w.problem("no connection to %s was opened within %s", address, within) })
+}
+
+// TestReportsThatWereHeldUpConfirmNobody: a leader that was cut off has been replaced, and gets the reports that others sent to it before.
+func TestReportsThatWereHeldUpConfirmNobody(t *testing.T) {
+	for i := range uint64(6) {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			run(t, seed.Value+i, 5, 6, func(w *world) {
+				w.servedWithin(2 * time.Second)
+				time.Sleep(3*time.Second + time.Duration(i)*110*time.Millisecond)
+				w.set(func() { w.holdsBack = true })
+				first, _ := w.leader()
+				w.cutFor(20*time.Second, first+">store")
+				others := slices.DeleteFunc(everybody(5, 0), func(name string) bool { return name == first })
+				w.set(func() {
+					for _, name := range others {
+						w.cut[first+">"+name], w.cut[name+">"+first] = true, true
+					}
+				})
+				for _, name := range others {
+					w.cutFor(20*time.Second, name+">t2")
+				}
+				second := w.awaitLeaderBesides(first, 3*time.Second)
+				w.leaveTarget("t2")
+				time.Sleep(8 * time.Second)
+				for _, name := range others {
+					if name != second {
+						w.cutFor(0, first+">"+name)
+						w.cutFor(0, name+">"+first)
+					}
+				}
+				time.Sleep(6 * time.Second)
+			})
+		})
+	}
+}
+
+// awaitLeaderBesides waits until another VM leads and returns its name.
+func (w *world) awaitLeaderBesides(first string, within time.Duration) string {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for _, n := range w.running() {
+			leads := false
+			if n.name != first && n.loop.Call(func() { leads = n.coordinator.Leads() }) && leads {
+				return n.name
+			}
+		}
+	}
+	w.set(func() { w.problem("no VM besides %s leads after %s", first, within) })
+	return ""
+}
+
+// TestLateAnswerOfTheStoreConfirmsNobody: a leader learns late that the record had no other leader yet, and has another by then.
+func TestLateAnswerOfTheStoreConfirmsNobody(t *testing.T) {
+	for after := time.Duration(0); after < 2*time.Second; after += 100 * time.Millisecond {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			run(t, seed.Value, 5, 6, func(w *world) {
+				w.servedWithin(2 * time.Second)
+				time.Sleep(3 * time.Second)
+				first, _ := w.leader()
+				w.set(func() { w.answersTake[first] = 1400 * time.Millisecond })
+				time.Sleep(after)
+				w.loseConnections("t2")
+				for _, name := range everybody(5, 0) {
+					if name != first {
+						w.cutFor(20*time.Second, first+">"+name)
+						w.cutFor(20*time.Second, name+">"+first)
+					}
+				}
+				w.awaitLeaderBesides(first, 4*time.Second)
+				w.leaveTarget("t2")
+				w.awaitRelease("t2", 4*time.Second)
+				w.startAt("t2", "t2")
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
+// TestLostConnectionsOverAnOutage: without the store, the reports of the VMs confirm a leader that needs other fences.
+func TestLostConnectionsOverAnOutage(t *testing.T) {
+	for _, vms := range []int{5, 50} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			run(t, seed.Value, vms, 6, func(w *world) {
+				w.servedWithin(2 * time.Second)
+				time.Sleep(3 * time.Second)
+				w.set(func() { w.outage = true })
+				time.Sleep(3 * time.Second)
+				for _, id := range everybody(0, 6) {
+					w.loseConnections(id)
+				}
+				gap := w.longestGap(10 * time.Second)
+				w.check(gap == 0, "a key was held by nobody for %s", gap)
+			})
+		})
+	}
+}
+
+// TestLeaderThatStepsDownTakesItsOrdersBack: a grant of it is under way while its successor moves the keys, and the target starts again.
+func TestLeaderThatStepsDownTakesItsOrdersBack(t *testing.T) {
+	for after := time.Duration(0); after < 200*time.Millisecond; after += 20 * time.Millisecond {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			run(t, seed.Value, 5, 6, func(w *world) {
+				w.servedWithin(2 * time.Second)
+				time.Sleep(3 * time.Second)
+				first, _ := w.leader()
+				w.set(func() { w.openings[first+">t2:1"] = 590 * time.Millisecond })
+				w.loseConnections("t2")
+				w.awaitOpening("t2:1", 2*time.Second)
+				time.Sleep(after)
+				w.nodes[first].loop.Post(w.nodes[first].coordinator.Leave)
+				w.awaitLeaderBesides(first, time.Second)
+				w.leaveTarget("t2")
+				w.awaitRelease("t2", 4*time.Second)
+				w.startAt("t2", "t2")
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -43,8 +43,16 @@
 	cut map[string]bool
 	// refused holds pairs whose connections are refused although both run.
 	refused map[string]bool
+	// holdsBack keeps what VMs send each other over a path that is cut until it heals.
+	holdsBack bool
+	// openings is how long a connection for a new grant to an address takes to be opened,
+	// or one "from>to"; opening counts those that are, by address.
+	openings map[string]time.Duration
+	opening  map[string]int
 	// outage stops the store for everybody.
 	outage bool
+	// answersTake is how long answers to the writes of a node are on their way.
+	answersTake map[string]time.Duration
 	// loseAnswers is the share of writes whose answers are lost.
 	loseAnswers float64
 	// lateOrders is the share of orders that are not answered and applied late.
@@ -95,6 +103,7 @@
 	w := &world{
 		t: t, began: time.Now(), random: rand.New(rand.NewPCG(seed, 7)), memory: store.NewMemory(), nodes: map[string]*node{},
 		targets: map[string]*fakeTarget{}, cut: map[string]bool{}, refused: map[string]bool{}, waiting: map[uint64]chan *peerv1.Control{},
+		answersTake: map[string]time.Duration{}, openings: map[string]time.Duration{}, opening: map[string]int{},
 	}
 	config := fleet.Config{Version: 1, Services: []fleet.Service{{Name: service, Keyed: true}}}
 	w.put("config/main", config)
@@ -285,8 +294,33 @@
 	return n.linkFree.Sub(now)
 }
 
+// awaitPath waits with a message until a cut has healed, if the world holds back what
+// was sent, also by processes that have ended. Messages keep their order.
+func (w *world) awaitPath(from *node, to string) bool {
+	w.mu.Lock()
+	holds := w.holdsBack && !w.refused[from.name+">"+to]
+	w.calls++
+	place := time.Duration(w.calls) * time.Nanosecond
+	w.mu.Unlock()
+	for limit := time.Now().Add(heldLongest); holds && time.Now().Before(limit); {
+		time.Sleep(heldStep - time.Since(w.began)%heldStep)
+		if w.path(from.name, to) {
+			time.Sleep(place)
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// heldStep is the interval at which messages that are held back look at the path;
+	// after heldLongest they are lost.
+	heldStep    = 20 * time.Millisecond
+	heldLongest = 12 * time.Second
+)
+
 func (w *world) deliver(from *node, to string, message *peerv1.Control) {
-	if !w.path(from.name, to) {
+	if !w.path(from.name, to) && !w.awaitPath(from, to) {
 		return
 	}
 	if message.ReplyTo != 0 {
@@ -378,7 +412,12 @@
 		}()
 		return 0, fault.New(fault.UnknownOutcome, "read back", "no answer")
 	}
-	return w.memory.Put(ctx, name, value, expected)
+	version, err := w.memory.Put(ctx, name, value, expected)
+	w.mu.Lock()
+	takes := w.answersTake[s.node.name]
+	w.mu.Unlock()
+	time.Sleep(takes)
+	return version, err
 }
 
 func (s nodeStore) Delete(ctx context.Context, name string, expected int64) error {
