Wait for a late broker where only it knows the target

Callers saw 503 "no-target" for half a second at a time although all keys were owned and served: TestStoreOutage and the second half of TestDrainingServerGetsNothing failed on a busy machine.

Cause: a VM whose broker gives no word within 60 ms decides alone and does not ask it for another 500 ms. Owners of keys reach a VM up to 1 s after the broker. A VM that does not have them yet knows no target, and refuses; the first refusal in each failed run came 60 to 96 ms after the question, the others at once. Ruled out: the outage itself, leases, the leader (no change of it in any of these runs); all 337 refusals of the nine failed runs were "no-target", on VMs other than the leader.

A VM that knows no target which takes the request now goes on asking for as long as it hears the leader, and asks anew after 500 ms without a word, since the question may have been lost with its session. Without a sign of the leader it refuses after 60 ms as before. What it can decide, it decides after 60 ms as before.

TestLateBrokerDecidesWhatOnlyItKnows failed before with "no-target".

--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -23,6 +23,9 @@
 	answerWithin = 60 * time.Millisecond
 	// distrust is how long a broker is not asked after it gave no word.
 	distrust = 500 * time.Millisecond
+	// askAgain is how long a request that this VM cannot decide waits for a first word
+	// before it is asked anew: the question may have been lost with its session.
+	askAgain = distrust
 	// queuedCheck is the interval at which a queued request looks whether its
 	// broker is still heard.
 	queuedCheck = 100 * time.Millisecond
@@ -125,17 +128,47 @@
 // Acquire asks for a permit. The decision may be a refusal. The error is that
 // of the context.
 func (d *Desk) Acquire(ctx context.Context, r admission.Request) (Permit, error) {
-	broker := d.config.View().Brokers[r.Service]
-	if broker == d.config.Self {
-		return d.acquireHere(ctx, r, d.broker, broker)
-	}
-	if broker != "" && d.trusts(broker) {
+	for {
+		broker := d.config.View().Brokers[r.Service]
+		switch {
+		case broker == d.config.Self:
+			return d.acquireHere(ctx, r, d.broker, broker)
+		case broker == "", !d.trusts(broker) && !d.needs(broker, &r):
+			return d.acquireHere(ctx, r, d.alone, "")
+		}
 		permit, decided, err := d.acquireFrom(ctx, broker, r)
 		if decided || err != nil {
 			return permit, err
 		}
 	}
-	return d.acquireHere(ctx, r, d.alone, "")
+}
+
+// needs reports whether only the broker, which lives, can serve a request: this VM
+// knows no target that takes it. Owners of keys reach it up to detailPause (package
+// coordinator) after the broker.
+func (d *Desk) needs(broker string, r *admission.Request) bool {
+	return d.config.Hears(broker) && !knowsTarget(d.config.View(), r)
+}
+
+// knowsTarget reports whether a view has a target that takes a request.
+func knowsTarget(view *fleet.View, r *admission.Request) bool {
+	if view.Config == nil {
+		return false
+	}
+	if service := view.Config.Service(r.Service); service != nil && service.Keyed {
+		slice := fleet.Find(view.Slices[r.Service], r.Key)
+		if slice == nil || !slice.Ready {
+			return false
+		}
+		owner := view.Targets[slice.Owner.ID]
+		return view.Usable(owner) && owner.Life == slice.Owner
+	}
+	for _, t := range view.Targets {
+		if t.Service == r.Service && view.Usable(t) {
+			return true
+		}
+	}
+	return false
 }
 
 func (d *Desk) trusts(broker string) bool {
@@ -179,7 +212,8 @@
 func (d *Desk) acquireFrom(ctx context.Context, broker string, r admission.Request) (Permit, bool, error) {
 	answer := d.register(&r)
 	defer d.forget(r.ID.Number)
-	d.config.Sender.Send(broker, &peerv1.Control{Kind: &peerv1.Control_PermitRequest{PermitRequest: requestToWire(r, time.Now())}})
+	asked := time.Now()
+	d.config.Sender.Send(broker, &peerv1.Control{Kind: &peerv1.Control_PermitRequest{PermitRequest: requestToWire(r, asked)}})
 	timer := time.NewTimer(answerWithin)
 	defer timer.Stop()
 	for {
@@ -190,7 +224,7 @@
 			d.endAt(broker, admission.End{ID: r.ID, Result: admission.Canceled})
 			return Permit{}, true, ctx.Err()
 		case <-timer.C:
-			if d.isQueued(r.ID.Number) && d.config.Hears(broker) {
+			if d.isQueued(r.ID.Number) && d.config.Hears(broker) || d.needs(broker, &r) && time.Since(asked) < askAgain {
 				timer.Reset(queuedCheck)
 				continue
 			}
--- a/internal/process/permits/desk_test.go
+++ b/internal/process/permits/desk_test.go
@@ -24,6 +24,10 @@
 	desks map[string]*permits.Desk
 	// cut holds the VMs without a path.
 	cut map[string]bool
+	// takes is how long messages take; 0 for a few milliseconds.
+	takes time.Duration
+	// deaf is set while no VM hears the broker.
+	deaf bool
 }
 
 type sender struct {
@@ -32,8 +36,11 @@
 }
 
 func (s sender) Send(vm string, message *peerv1.Control) {
+	s.network.mu.Lock()
+	takes := s.network.takes
+	s.network.mu.Unlock()
 	go func() {
-		time.Sleep(2 * time.Millisecond)
+		time.Sleep(max(takes, 2*time.Millisecond))
 		s.network.mu.Lock()
 		desk, cut := s.network.desks[vm], s.network.cut[vm] || s.network.cut[s.vm]
 		s.network.mu.Unlock()
@@ -75,7 +82,7 @@
 		Hears: func(string) bool {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			return !n.cut["broker"]
+			return !n.cut["broker"] && !n.deaf
 		},
 	})
 	desk.Update(shared)
@@ -166,6 +173,81 @@
 	})
 }
 
+// keyedView has a keyed service; owned is set if the owner of the keys is known.
+func keyedView(owned bool) *fleet.View {
+	v := view()
+	v.Config.Services[0].Keyed = true
+	if owned {
+		v.Slices = map[string][]fleet.Slice{"s": {{Last: fleet.Keys - 1, Owner: v.Targets["t0"].Life, Ready: true}}}
+	}
+	return v
+}
+
+// startLate starts a broker that knows the owner of the keys and a VM that does not
+// yet; messages take longer than a broker has for a first word.
+func startLate() *network {
+	n := newNetwork()
+	n.takes = 40 * time.Millisecond
+	n.start("broker", keyedView(true))
+	n.start("a", keyedView(false))
+	return n
+}
+
+// TestLateBrokerDecidesWhatOnlyItKnows: a VM that does not know the owner of a key yet
+// refuses nothing while the broker that knows it is alive.
+func TestLateBrokerDecidesWhatOnlyItKnows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := startLate()
+		for range 3 {
+			permit, err := n.desks["a"].Acquire(t.Context(), request())
+			assert.NilError(t, err)
+			assert.Equal(t, permit.Refused, admission.Reason(""))
+			assert.Equal(t, permit.Target.ID, "t0")
+			assert.Equal(t, permit.Broker, "broker")
+			n.desks["a"].End(permit, admission.Answered, time.Millisecond, fleet.Load{}, false)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// TestLostQuestionIsAskedAgain while the broker is heard, within the deadline.
+func TestLostQuestionIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := startLate()
+		n.cut["a"] = true
+		time.AfterFunc(100*time.Millisecond, func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.cut["a"] = false
+		})
+		r := request()
+		r.Deadline = time.Now().Add(2500 * time.Millisecond)
+		ctx, cancel := context.WithDeadline(t.Context(), r.Deadline)
+		defer cancel()
+		permit, err := n.desks["a"].Acquire(ctx, r)
+		assert.NilError(t, err)
+		assert.Equal(t, permit.Target.ID, "t0")
+		n.desks["a"].End(permit, admission.Answered, time.Millisecond, fleet.Load{}, false)
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// TestUnheardBrokerIsNotAwaited: without a sign of the broker the caller gets its
+// refusal at once and may go elsewhere.
+func TestUnheardBrokerIsNotAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := startLate()
+		n.cut["a"], n.deaf = true, true
+		began := time.Now()
+		permit, err := n.desks["a"].Acquire(t.Context(), request())
+		assert.NilError(t, err)
+		assert.Equal(t, permit.Refused, admission.NoTarget)
+		assert.Assert(t, time.Since(began) < 100*time.Millisecond, "refused after %v", time.Since(began))
+		time.Sleep(2 * time.Second)
+	})
+}
+
 // TestRequestOfAFormerProcessIsNotAnswered to the next process of its VM, which would send its own request to the target of another service.
 func TestRequestOfAFormerProcessIsNotAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
