Leave repeats and cold targets to a late broker

Callers saw 503 "budget-spent" for requests that an owner had refused because the key had moved: a VM that decides alone repeats nothing, and it decided alone for 500 ms after its broker was 60 ms late. Seen in TestDrainingServerGetsNothing at a load average of 100: the view of the VM had the former owner, which answered 421, and the repeat was refused although the broker was alive. Likewise a VM that knows cold targets alone let requests wait until these were warm.

Such a request now goes on asking its broker for as long as the leader is heard, as one without a known target does.

TestLateBrokerDecidesOnRepeats failed before with "budget-spent".

--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -143,28 +143,29 @@
 	}
 }
 
-// needs reports whether only the broker, which lives, can serve a request: this VM
-// knows no target that takes it. Owners of keys reach it up to detailPause (package
-// coordinator) after the broker.
+// needs reports whether only the broker, which lives, can let a request run: one that
+// decides alone repeats nothing and sends to no cold target, and owners of keys reach
+// this VM up to a second after the broker.
 func (d *Desk) needs(broker string, r *admission.Request) bool {
-	return d.config.Hears(broker) && !knowsTarget(d.config.View(), r)
+	return d.config.Hears(broker) && (r.Repeat || !hasWarmTarget(d.config.View(), r, time.Now()))
 }
 
-// knowsTarget reports whether a view has a target that takes a request.
-func knowsTarget(view *fleet.View, r *admission.Request) bool {
+// hasWarmTarget reports whether a view has a target for a request that is not cold.
+func hasWarmTarget(view *fleet.View, r *admission.Request, now time.Time) bool {
 	if view.Config == nil {
 		return false
 	}
+	warm := func(t *fleet.Target) bool { return view.Usable(t) && !now.Before(t.ColdUntil) }
 	if service := view.Config.Service(r.Service); service != nil && service.Keyed {
 		slice := fleet.Find(view.Slices[r.Service], r.Key)
 		if slice == nil || !slice.Ready {
 			return false
 		}
 		owner := view.Targets[slice.Owner.ID]
-		return view.Usable(owner) && owner.Life == slice.Owner
+		return warm(owner) && owner.Life == slice.Owner
 	}
 	for _, t := range view.Targets {
-		if t.Service == r.Service && view.Usable(t) {
+		if t.Service == r.Service && warm(t) {
 			return true
 		}
 	}
