Send a lost change of the state again within two reports

A VM could go on taking a target for present long after its notice. It then sends there whenever it decides alone, which is the case for 500 ms each time its broker is 60 ms late: a request after the 2 s of DRAIN.

Cause: the leader noted one time for all parts that it sent to a VM, and compared what the VM reports only 2 s after that. Owners of keys change every second in a busy cell, so that the time was always fresh, and a difference of the targets that was lost with its session, or did not fit a VM that had watched the store itself, was not sent again. All later differences built on it and did not fit either.

Each part is followed by itself now: a version that the VM reports ends it, another one than before is progress, and without progress for two report intervals (a whole list: 2 s as before) the leader goes on from what the VM has. If nothing is under way, what the VM reports counts at once.

--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -147,6 +147,68 @@
 	})
 }
 
+// drainBound is the time from a target's notice to its last new request.
+const drainBound = 2 * time.Second
+
+// leavingKnownWithin waits until all nodes know that a target leaves.
+func (w *world) leavingKnownWithin(id string, limit time.Duration) {
+	began := time.Now()
+	for late := ""; ; time.Sleep(10 * time.Millisecond) {
+		late = ""
+		for _, n := range w.nodes {
+			n.mu.Lock()
+			if t := n.view.Targets[id]; t == nil || !t.Leaving {
+				late = n.name
+			}
+			n.mu.Unlock()
+		}
+		if late == "" {
+			return
+		}
+		if time.Since(began) > limit {
+			w.problem("%s does not know after %s that %s leaves", late, limit, id)
+			return
+		}
+	}
+}
+
+// TestLostChangeReachesAllInTime: a change of the targets that was lost on its way is
+// sent again within the time in which a leaving target must get nothing any more, also
+// while owners of keys change all the time.
+func TestLostChangeReachesAllInTime(t *testing.T) {
+	run(t, seed.Value, 5, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		for _, id := range []string{"t1", "t2", "t3"} {
+			time.Sleep(3300 * time.Millisecond)
+			w.set(func() { w.loseTargets = 4 })
+			w.leaveTarget(id)
+			w.leavingKnownWithin(id, drainBound)
+			w.set(func() { w.check(w.loseTargets == 0, "%d messages were not lost", w.loseTargets) })
+		}
+	})
+}
+
+// TestChangeReachesVMsThatWatched in time: those that did not hear the leader for a
+// while have targets of their own, to which the leader's differences do not fit.
+func TestChangeReachesVMsThatWatched(t *testing.T) {
+	run(t, seed.Value, 5, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		leader, _ := w.leader()
+		alone := "n1"
+		if leader == alone {
+			alone = "n2"
+		}
+		for _, id := range []string{"t1", "t2", "t3"} {
+			w.set(func() { w.cut[leader+">"+alone] = true })
+			time.Sleep(3500 * time.Millisecond)
+			w.set(func() { w.cut[leader+">"+alone] = false })
+			time.Sleep(400 * time.Millisecond)
+			w.leaveTarget(id)
+			w.leavingKnownWithin(id, drainBound)
+		}
+	})
+}
+
 // TestTargetEnded: keys of a target whose port refuses connections are served
 // again within a second and the renewal that notices it.
 func TestTargetEnded(t *testing.T) {
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -31,9 +31,6 @@
 	storeLostAfter = 1200 * time.Millisecond
 	// memberGone is the time after which a VM that does not report is forgotten.
 	memberGone = 4 * time.Second
-	// resendAfter is the time after which a part is sent again that a VM does
-	// not report.
-	resendAfter = 2 * time.Second
 	// pushPause gathers changes of the declarations before they are passed on.
 	pushPause = 20 * time.Millisecond
 	// writeTimeout bounds a write of the record.
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
@@ -24,11 +22,11 @@
 	// followedAt is the uptime at which the VM last said that it follows this one.
 	followedAt time.Duration
 	term       uint64
-	// sent are the versions that were last sent, at sentAt; nil until the VM has
-	// said what it has. detailsAt is when owners of keys or VMs were last sent.
-	sent      *peerv1.PartVersions
-	sentAt    time.Time
-	detailsAt time.Time
+	// sent are the versions that were last sent; nil until the VM has said what it has.
+	// detailsAt is when owners of keys or VMs were last sent.
+	sent       *peerv1.PartVersions
+	deliveries deliveries
+	detailsAt  time.Time
 	// waits is set while the VM lacks the targets and it is not its turn to get all
 	// of them; loadingSince is when they were sent to it, until it has reported them.
 	waits        bool
@@ -108,13 +106,15 @@
 func (c *Coordinator) addParts(state *peerv1.FleetState, m *member, now time.Time) {
 	p := c.lead.parts
 	if m.sent.Config < p.configVersion {
-		state.Config, m.sent.Config, m.sentAt = p.config, p.configVersion, now
+		state.Config, m.sent.Config = p.config, p.configVersion
+		m.deliveries.config.begin(false, now)
 	}
 	m.waits = false
 	if p.targets.digest != 0 && m.sent.Targets != p.targets.digest {
 		part := p.targets.since(m.sent.Targets, now)
 		if m.waits = part.Base == 0 && !c.mayLoad(m, len(part.Body), now); !m.waits {
-			state.Targets, m.sent.Targets, m.sentAt = part, p.targets.digest, now
+			state.Targets, m.sent.Targets = part, p.targets.digest
+			m.deliveries.targets.begin(part.Base == 0, now)
 		}
 	}
 	if now.Sub(m.detailsAt) < c.detailPause() {
@@ -122,12 +122,14 @@
 	}
 	if p.members.digest != 0 && m.sent.Members != p.members.digest {
 		state.Members = p.members.since(m.sent.Members, now)
-		m.sent.Members, m.sentAt, m.detailsAt = p.members.digest, now, now
+		m.sent.Members, m.detailsAt = p.members.digest, now
+		m.deliveries.members.begin(state.Members.Base == 0, now)
 	}
 	// Owners of keys are of no use without the targets.
 	if p.slices.digest != 0 && m.sent.Slices != p.slices.digest && !m.waits && m.loadingSince.IsZero() {
 		state.Slices = p.slices.since(m.sent.Slices, now)
-		m.sent.Slices, m.sentAt, m.detailsAt = p.slices.digest, now, now
+		m.sent.Slices, m.detailsAt = p.slices.digest, now
+		m.deliveries.slices.begin(state.Slices.Base == 0, now)
 	}
 }
 
@@ -137,7 +139,7 @@
 func (c *Coordinator) mayLoad(m *member, size int, now time.Time) bool {
 	underWay := 0
 	for _, other := range c.lead.members {
-		if other != m && now.Sub(other.loadingSince) < resendAfter {
+		if other != m && now.Sub(other.loadingSince) < listLostAfter {
 			underWay += size
 		}
 	}
@@ -187,12 +189,7 @@
 		c.membersChanged()
 	}
 	m.heardAt, m.followedAt, m.term = now, c.config.Uptime(), report.Term
-	if m.sent == nil || now.Sub(m.sentAt) > resendAfter {
-		m.sent = &peerv1.PartVersions{}
-		if report.Have != nil {
-			m.sent = proto.Clone(report.Have).(*peerv1.PartVersions)
-		}
-	}
+	m.reported(report.Have, c.reportInterval(), now)
 	if !m.loadingSince.IsZero() && l.parts.targets.has(report.Have.GetTargets()) {
 		c.loaded(m, now)
 	}
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -53,6 +53,9 @@
 	linkRate float64
 	// listTakes is how long the store takes for a list.
 	listTakes time.Duration
+	// loseTargets is the number of coming messages with targets that are lost, as with
+	// the session that they are sent on.
+	loseTargets int
 	// wholeLists counts the lists of targets, owners and VMs that were sent as a whole.
 	wholeLists int
 	calls      uint64
@@ -300,6 +303,11 @@
 		return
 	}
 	w.mu.Lock()
+	if message.GetFleetState().GetTargets() != nil && w.loseTargets > 0 {
+		w.loseTargets--
+		w.mu.Unlock()
+		return
+	}
 	receiver := w.nodes[to]
 	for _, list := range []*peerv1.Part{message.GetFleetState().GetTargets(), message.GetFleetState().GetSlices(), message.GetFleetState().GetMembers()} {
 		if list != nil && list.Base == 0 {
