Begin the test of an outage once every VM serves keys

The VM had not heard of a leader yet: its reads of the record had timed out (term 0 in each of its lines) when the store fell silent, and without the store a VM that knows nobody cannot find one. It was ready nevertheless, by the configuration that it had read itself.

The fault is in the test: it waits until all VMs are ready and the servers hold all keys, which says nothing of what a VM knows. It now asks each VM for a key first, within the same bound for the start, and begins the outage after that. What happens from the outage on is checked as before; TestPath checks that nothing fails right after a start.

--- a/tests/platform/platform_test.go
+++ b/tests/platform/platform_test.go
@@ -293,10 +293,14 @@
 	}
 }
 
-// TestStoreOutage: requests go on, keys stay with their owners.
+// TestStoreOutage: requests go on, keys stay with their owners. A VM that has not heard
+// of a leader before the outage cannot find one in it.
 func TestStoreOutage(t *testing.T) {
 	for _, faults := range []platformstub.Faults{{Status: http.StatusServiceUnavailable}, {Silent: true}} {
 		d := start(t, 3)
+		for _, vm := range d.VMs {
+			cluster.Eventually(t, startBound, vm.Name+" serves keys", func() error { return servesKeys(t, vm) })
+		}
 		d.Store.SetFaults(faults)
 		load := send(t, d.VMs, "/keyed/x", 10*time.Millisecond)
 		time.Sleep(6 * time.Second)
@@ -304,6 +308,16 @@
 	}
 }
 
+// servesKeys returns an error until a VM serves a key, for which it needs a leader.
+func servesKeys(t *testing.T, vm *deployment.VM) error {
+	caller := vm.Caller()
+	defer caller.Close()
+	if r := caller.Send(t.Context(), http.MethodGet, "/keyed/x", 0, nil); !r.Whole {
+		return fmt.Errorf("answered with status %d and error %v", r.Status, r.Err)
+	}
+	return nil
+}
+
 // TestServerEnds: its keys are served by others within the bound, requests of
 // the free service go on.
 func TestServerEnds(t *testing.T) {
