Do not read past a stray answer of HTTP/1.0

What callers saw: an earlier refusal that a faulty server wrote once more in HTTP/1.0, with a body, right before the answer to the next request: that request waited until its deadline, 504, and held its slot, though its answer had come.

Cause: heads of HTTP/1.0 are read through a reader of their own, which takes what follows the body in the same segment; the answer behind it was lost with that reader.

A server that answers in HTTP/1.0 ends the connection, so nothing of the request's own is due behind it: the exchange now ends at once and the request counts as one that may have run (502, or another target where it may run twice).

The new test plays refusals in 23 forms (chunked and cut, without a length, ids in other letter case, twice or folded, behind informational heads, HTTP/1.0), before the request's body is read and after it.

--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -132,7 +132,8 @@
 
 // readOwnHead reads the head of the answer, past stray answers to other
 // requests where the form allows them. Whether one before the answer to a HEAD
-// request has a body is unknown, so it is not read past.
+// request has a body is unknown, and the reader of one of HTTP/1.0 takes more than
+// its body, so these are not read past.
 func (r *exchangeRun) readOwnHead(request *http.Request) (*http.Response, error) {
 	for skipped := 0; ; skipped++ {
 		response, err := readHead(r.connection, request)
@@ -141,7 +142,7 @@
 		}
 		form := r.pool.form
 		own := r.owns(response)
-		skips := form.SkipStray && r.method != http.MethodHead && skipped < maxStray
+		skips := form.SkipStray && r.method != http.MethodHead && response.ProtoAtLeast(1, 1) && skipped < maxStray
 		if own || !skips || !hasLength(response, r.method) {
 			return response, nil
 		}
--- a/internal/connection/target/stray_test.go
+++ b/internal/connection/target/stray_test.go
@@ -106,3 +106,87 @@
 		handedWithoutAnswer(t, err)
 	}
 }
+
+// TestEarlierRefusalInAnyFormIsNoAnswer, before the body of the next request has been
+// read or after it. Where its end can be told, the answer behind it is not lost.
+func TestEarlierRefusalInAnyFormIsNoAnswer(t *testing.T) {
+	const begin = "503 Service Unavailable\r\nNot-Executed: 1\r\n" + target.HeaderNotRun + ": shed\r\n"
+	id := target.HeaderRequestID + ": x\r\n"
+	twice := strings.ToLower(target.HeaderRequestID) + ": a\r\n" + strings.ToUpper(target.HeaderRequestID) + ": "
+	for name, c := range map[string]struct {
+		refusal string
+		// answered is set if the answer to the request is found behind it.
+		answered bool
+	}{
+		"chunked":                   {"HTTP/1.1 " + begin + id + "Transfer-Encoding: chunked\r\n\r\n4;e=f\r\nfull\r\n0\r\nT: u\r\n\r\n", true},
+		"chunked, cut in a chunk":   {"HTTP/1.1 " + begin + id + "Transfer-Encoding: chunked\r\n\r\n4\r\nfu", false},
+		"chunked, cut in a size":    {"HTTP/1.1 " + begin + id + "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n1", false},
+		"chunked, cut between":      {"HTTP/1.1 " + begin + id + "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n", false},
+		"chunked, cut in trailers":  {"HTTP/1.1 " + begin + id + "Transfer-Encoding: chunked\r\n\r\n0\r\nT: ", false},
+		"body cut":                  {"HTTP/1.1 " + begin + id + "Content-Length: 4\r\n\r\nfu", false},
+		"longer than its length":    {"HTTP/1.1 " + begin + id + "Content-Length: 2\r\n\r\nfull", false},
+		"without length":            {"HTTP/1.1 " + begin + id + "\r\n", false},
+		"closing":                   {"HTTP/1.1 " + begin + id + "Connection: close\r\nContent-Length: 4\r\n\r\nfull", true},
+		"HTTP/1.0":                  {"HTTP/1.0 " + begin + id + "Content-Length: 4\r\n\r\nfull", false},
+		"HTTP/1.0 kept":             {"HTTP/1.0 " + begin + id + "Connection: keep-alive\r\nContent-Length: 4\r\n\r\nfull", false},
+		"HTTP/1.0 without body":     {"HTTP/1.0 " + begin + id + "Content-Length: 0\r\n\r\n", false},
+		"HTTP/1.0 without length":   {"HTTP/1.0 " + begin + id + "\r\nfull", false},
+		"HTTP/1.0 without id":       {"HTTP/1.0 " + begin + "Content-Length: 4\r\n\r\nfull", false},
+		"id in lower case":          {"HTTP/1.1 " + begin + strings.ToLower(id) + "Content-Length: 4\r\n\r\nfull", true},
+		"id in upper case":          {"HTTP/1.1 " + begin + strings.ToUpper(id) + "Content-Length: 4\r\n\r\nfull", true},
+		"id of the last, upper":     {"HTTP/1.1 " + begin + target.HeaderRequestID + ": A\r\nContent-Length: 4\r\n\r\nfull", true},
+		"id twice":                  {"HTTP/1.1 " + begin + id + id + "Content-Length: 4\r\n\r\nfull", true},
+		"both ids":                  {"HTTP/1.1 " + begin + twice + "b\r\nContent-Length: 4\r\n\r\nfull", true},
+		"both ids in one header":    {"HTTP/1.1 " + begin + target.HeaderRequestID + ": b, a\r\nContent-Length: 4\r\n\r\nfull", true},
+		"id folded":                 {"HTTP/1.1 " + begin + target.HeaderRequestID + ": b\r\n a\r\nContent-Length: 4\r\n\r\nfull", true},
+		"behind informational ones": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 " + begin + id + "Content-Length: 4\r\n\r\nfull", true},
+		"an empty line behind it":   {"HTTP/1.1 " + begin + id + "Content-Length: 4\r\n\r\nfull\r\n", false},
+	} {
+		for _, early := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, early), func(t *testing.T) {
+				t.Parallel()
+				pool := strayPool(t, func(socket *net.TCPConn) {
+					in := bufio.NewReader(socket)
+					if id, err := readRequest(in); err != nil || id != "a" {
+						return
+					}
+					_, _ = io.WriteString(socket, whole("a"))
+					request, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					if early {
+						_, _ = io.WriteString(socket, c.refusal)
+						time.Sleep(5 * time.Millisecond)
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					if !early {
+						_, _ = io.WriteString(socket, c.refusal)
+					}
+					_, _ = io.WriteString(socket, whole("b"))
+					if !strings.Contains(name, "cut") {
+						// A target keeps its connection.
+						_, _ = readRequest(in)
+					}
+				})
+				_, _, err := exchangeOnce(testContext(t), t, pool, newRequest("a", "", ""))
+				assert.NilError(t, err)
+				exchange, err := pool.Reserve(testContext(t))
+				assert.NilError(t, err)
+				ctx := testContext(t)
+				answer, err := exchange.Do(ctx, newRequest("b", "", strings.Repeat("body", 100_000)), true)
+				if answer == nil {
+					handedWithoutAnswer(t, err)
+					assert.Assert(t, !c.answered, "%v", err)
+					assert.NilError(t, ctx.Err(), "the exchange lasted until its deadline")
+					return
+				}
+				body, err := io.ReadAll(answer.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, answer.Status, http.StatusOK)
+				assert.Equal(t, string(body), "b")
+				assert.Assert(t, c.answered)
+			})
+		}
+	}
+}
