Close idle connections on which a target writes, without waiting for a request

Cause: whether anything follows an answer is looked at when its last byte has been read.

The pool now looks at its idle connections once a second while it has any. That also closes those that the target has closed and those past their idle time. It costs one system call per idle connection and second.

The test of bytes beyond the length no longer calls Warm, which production does not do here.

--- a/internal/connection/target/fuzz_test.go
+++ b/internal/connection/target/fuzz_test.go
@@ -32,6 +32,7 @@
 	source := &boundedReader{source: &script{text: strings.NewReader(text)}, left: math.MaxInt64}
 	c := &connection{socket: &countingSocket{Conn: source.source.(net.Conn)}, source: source, reader: bufio.NewReader(source)}
 	exchange := &Exchange{pool: NewPoolOf("target", 1, form), connection: c}
+	defer exchange.pool.Close()
 	request := &http.Request{Method: method, URL: &url.URL{Path: "/"}, Host: "target", Header: http.Header{}, ProtoMajor: 1, ProtoMinor: 1}
 	request.Header.Set(HeaderRequestID, "a")
 	answer, err := exchange.Do(context.Background(), request, false)
--- a/internal/connection/target/hostile_test.go
+++ b/internal/connection/target/hostile_test.go
@@ -145,10 +145,38 @@
 	assert.NilError(t, err)
 	assert.Equal(t, body, "a")
 	<-ended
-	eventually(t, func() bool {
-		pool.Warm(0)
-		return pool.Open() == 0
-	}, "the connection is kept")
+	eventually(t, func() bool { return pool.Open() == 0 }, "the connection is kept")
+}
+
+// TestBytesOnAnIdleConnectionEndIt, also if no further request is sent to the target:
+// it could be at work on them for ever.
+func TestBytesOnAnIdleConnectionEndIt(t *testing.T) {
+	for name, text := range map[string]string{
+		"garbage": strings.Repeat("x", 32<<10), "heads": "HTTP/1.1 103 Early Hints\r\n\r\n", "an earlier refusal": head("x", "Content-Length: 0\r\n\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ended := make(chan struct{})
+			pool := strayPool(t, func(socket *net.TCPConn) {
+				defer close(ended)
+				id, err := readRequest(bufio.NewReader(socket))
+				assert.Check(t, err)
+				_, err = io.WriteString(socket, whole(id))
+				time.Sleep(50 * time.Millisecond)
+				for again := []byte(text); err == nil; {
+					_, err = socket.Write(again)
+				}
+			})
+			_, _, err := exchangeOnce(testContext(t), t, pool, newRequest("a", "", ""))
+			assert.NilError(t, err)
+			select {
+			case <-ended:
+			case <-time.After(testTimeout):
+				t.Fatal("the target still writes")
+			}
+			eventually(t, func() bool { return pool.Open() == 0 }, "the connection is kept")
+		})
+	}
 }
 
 // TestBytesBeyondTheProbeSendNoRequest: what is sent behind them would be lost.
--- a/internal/connection/target/pool.go
+++ b/internal/connection/target/pool.go
@@ -16,6 +16,9 @@
 	// warmRetryInterval is the pause after a failed attempt to open a warm
 	// connection.
 	warmRetryInterval = 500 * time.Millisecond
+	// sweepInterval is the interval at which idle connections are looked at. A target
+	// that writes on one is held up until it is closed.
+	sweepInterval = time.Second
 )
 
 // Pool holds the connections for requests to one target. It never has more
@@ -26,11 +29,13 @@
 	limit   int
 	form    Form
 
-	mu       sync.Mutex
-	idle     []*connection
-	open     int
-	closed   bool
-	warming  bool
+	mu      sync.Mutex
+	idle    []*connection
+	open    int
+	closed  bool
+	warming bool
+	// sweeping is set while a look at the idle connections is due.
+	sweeping bool
 	warmFrom time.Time
 	lost     int
 }
@@ -205,6 +210,7 @@
 	p.mu.Lock()
 	if !p.closed {
 		p.idle = append(p.idle, c)
+		p.sweepLater()
 		p.mu.Unlock()
 		return
 	}
@@ -212,6 +218,22 @@
 	c.close()
 }
 
+// sweepLater arranges a look at the idle connections, if there are any. The lock is
+// held.
+func (p *Pool) sweepLater() {
+	if p.sweeping || len(p.idle) == 0 {
+		return
+	}
+	p.sweeping = true
+	time.AfterFunc(sweepInterval, func() {
+		p.closeStale()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.sweeping = false
+		p.sweepLater()
+	})
+}
+
 // openConnection opens and probes a connection within the limit.
 func (p *Pool) openConnection(ctx context.Context) (*connection, error) {
 	if err := p.claim(); err != nil {
