Pass no success on that bears no signature

What callers saw: a server that ended in the middle of its answer's head, but at a place where what it had sent reads as a whole head (the status, the id, an empty or folded line), gave them a 200 with an empty or short body, framed as whole.

Cause: an answer of the request's own without a length is whole when its connection is closed in order, and nothing else was asked of it. The protocol says more: a 2xx counts only with the server's signature. Without one it now counts as an answer that broke off: the request may have run (502), or goes to another target where it may run twice. Callers lose nothing, since such a success earns them nothing.

A stand-in that left the signature out now sets it.

--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -142,10 +142,10 @@
 		cancel()
 		return x.notRun(permit, got.Status, took, load, hasLoad)
 	}
-	if x.route.Kind != fleet.Idempotent && promisesNotRun(got.Status) {
+	if result, err := x.unfit(got); err != nil {
 		_ = got.Body.Close()
 		cancel()
-		return x.lost(permit, outcome{result: admission.Failed, mayHaveRun: true, arrived: true, cause: errUnstatedRefusal}, took)
+		return x.lost(permit, outcome{result: result, mayHaveRun: true, arrived: true, cause: err}, took)
 	}
 	head, err := readUpTo(got.Body, keptBody)
 	if err != nil && !errors.Is(err, io.EOF) {
@@ -158,6 +158,17 @@
 	}}
 }
 
+// unfit says why an answer must not be passed on, and what it counts for.
+func (x *exchange) unfit(got *target.Answer) (admission.Result, error) {
+	switch {
+	case x.route.Kind != fleet.Idempotent && promisesNotRun(got.Status):
+		return admission.Failed, errUnstatedRefusal
+	case got.Status/100 == 2 && !x.handler.config.Dialect.Signed(got.Header):
+		return admission.Broken, errUnsigned
+	}
+	return 0, nil
+}
+
 // promisesNotRun reports whether callers take a status for the word that the
 // request did not run and never will.
 func promisesNotRun(status int) bool {
@@ -170,6 +181,8 @@
 
 var errUnstatedRefusal = errors.New("the target refused the request without stating that it did not run")
 
+var errUnsigned = errors.New("the target's success bears no signature")
+
 var errStalePermit = errors.New("the target of the permit takes no requests any more")
 
 // lost gives the permit back.
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -48,6 +48,9 @@
 	Address(h http.Header, target string, left time.Duration)
 	// NotRun reports whether an answer states that the request did not run.
 	NotRun(status int, h http.Header) bool
+	// Signed reports whether an answer bears the signature without which a success
+	// is none.
+	Signed(http.Header) bool
 	Load(http.Header) (fleet.Load, bool)
 	RetryAfter(h http.Header, after time.Duration)
 }
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -354,6 +354,7 @@
 	content := bytes.Repeat([]byte("0123456789"), 100_000)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Server-Seal", fencetarget.Seal("a1"))
 		_, _ = w.Write(content)
 	}))
 	t.Cleanup(server.Close)
--- /dev/null
+++ b/internal/request/forward/hostile_test.go
@@ -0,0 +1,266 @@
+package forward_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/fencetarget"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+// bytesPlayed is what a target writes for a request, byte for byte.
+type bytesPlayed struct {
+	// early is written before the request's body is read, late after it.
+	early, late string
+	// again is written until the caller closes.
+	again string
+	// kept leaves the connection open, reset resets it.
+	kept, reset bool
+	// refused is set if the target did not run the request.
+	refused bool
+	// answered is set if the caller has to get the target's answer.
+	answered bool
+}
+
+// rawTarget answers requests but those whose id begins with "a" as a sound target
+// does, and plays bytes for the others.
+type rawTarget struct {
+	played bytesPlayed
+	runs   atomic.Int64
+}
+
+func (f *fixture) addRaw(t *testing.T, id string, played bytesPlayed) *rawTarget {
+	raw := &rawTarget{played: played}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go raw.serve(socket.(*net.TCPConn), id)
+		}
+	}()
+	f.targets = append(f.targets, fencetarget.New(fencetarget.Settings{ID: id}))
+	f.view.Targets[id] = &fleet.Target{
+		Life: fleet.Life{ID: id, Born: 1}, Service: "s", Address: listener.Addr().String(), FailureDomain: "a", Slots: 2,
+	}
+	return raw
+}
+
+func (r *rawTarget) serve(socket *net.TCPConn, id string) {
+	defer socket.Close()
+	in := bufio.NewReader(socket)
+	for {
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		attempt := request.Header.Get("Attempt-Id")
+		if !strings.HasPrefix(attempt, "a") {
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(socket, ownAnswer(id, attempt))
+			continue
+		}
+		if !r.played.refused {
+			r.runs.Add(1)
+		}
+		if r.played.early != "" {
+			_, _ = io.WriteString(socket, r.played.early)
+			time.Sleep(20 * time.Millisecond)
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, err = io.WriteString(socket, r.played.late)
+		for text := strings.Repeat(r.played.again, 100); err == nil && text != ""; {
+			_, err = io.WriteString(socket, text)
+		}
+		if r.played.reset {
+			time.Sleep(20 * time.Millisecond)
+			_ = socket.SetLinger(0)
+		}
+		if !r.played.kept {
+			return
+		}
+	}
+}
+
+// ownAnswer is the whole answer of a target.
+func ownAnswer(id, attempt string) string {
+	return headOf(attempt) + "Content-Length: " + fmt.Sprint(len(fencetarget.Body(id, attempt))) + "\r\n\r\n" + fencetarget.Body(id, attempt)
+}
+
+// headOf is the beginning of an answer to an attempt.
+func headOf(attempt string) string {
+	return "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nServer-Seal: " + fencetarget.Seal(attempt) + "\r\n"
+}
+
+// refusalOf states that an attempt did not run; its body is "full".
+func refusalOf(attempt string) string {
+	return "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + attempt + "\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"
+}
+
+// playedBytes are the bytes of faulty targets for the attempt a1 of t0.
+func playedBytes() map[string]bytesPlayed {
+	own, earlier, refusal := ownAnswer("t0", "a1"), refusalOf("earlier"), refusalOf("a1")
+	chunked := strings.Replace(refusal, "Content-Length: 4\r\n\r\nfull", "Transfer-Encoding: chunked\r\n\r\n", 1)
+	status := func(text, status string) string { return strings.Replace(text, "200 OK", status, 1) }
+	old := func(text string) string { return strings.Replace(text, "HTTP/1.1", "HTTP/1.0", 1) }
+	const oneMore = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+	all := map[string]bytesPlayed{
+		"earlier refusal before the body":        {early: earlier, late: own, kept: true, answered: true},
+		"earlier refusal after a continue":       {early: "HTTP/1.1 100 Continue\r\n\r\n" + earlier, late: own, kept: true, answered: true},
+		"half of it before the body":             {early: earlier[:40], late: earlier[40:] + own, kept: true, answered: true},
+		"earlier refusal after the answer":       {late: own + earlier, kept: true, answered: true},
+		"half of it after the answer":            {late: own + earlier[:40], kept: true, answered: true},
+		"earlier refusal and no answer":          {early: earlier, kept: true},
+		"earlier refusal, then the end":          {early: earlier},
+		"earlier refusal, then a reset":          {early: earlier, reset: true},
+		"earlier refusal without id":             {early: strings.Replace(earlier, "Attempt-Id: earlier\r\n", "", 1), late: own, kept: true, answered: true},
+		"earlier refusal of HTTP/1.0":            {early: old(earlier), late: own, kept: true},
+		"earlier refusal without length":         {early: strings.Replace(earlier, "Content-Length: 4\r\n", "", 1), late: own, kept: true},
+		"earlier refusal without end":            {early: strings.Replace(earlier, "Content-Length: 4\r\n\r\nfull", "\r\n", 1), again: "full"},
+		"earlier chunked refusal, cut":           {early: strings.Replace(chunked, "a1", "earlier", 1) + "4\r\nfu", late: own, kept: true},
+		"answer, then the body is read":          {early: own, kept: true, answered: true},
+		"refusal":                                {late: refusal, kept: true, refused: true},
+		"refusal before the body":                {early: refusal, kept: true, refused: true},
+		"refusal before the body, then the end":  {early: refusal, reset: true, refused: true},
+		"refusal, twice":                         {late: refusal + refusal, kept: true, refused: true},
+		"refusal, chunked and cut":               {late: chunked + "4\r\nfu", refused: true},
+		"refusal, chunked and without end":       {late: chunked, again: "4\r\nfull\r\n", refused: true},
+		"refusal without end":                    {late: strings.Replace(refusal, "Content-Length: 4\r\n", "", 1), again: "full", refused: true},
+		"refusal of HTTP/1.0":                    {late: old(refusal), refused: true},
+		"refusal of HTTP/1.0 without length":     {late: old(strings.Replace(refusal, "Content-Length: 4\r\n", "", 1)), refused: true},
+		"refusal, id twice":                      {late: strings.Replace(refusal, "Not-", "attempt-id: a1\r\nNot-", 1), refused: true},
+		"refusal, two ids":                       {late: strings.Replace(refusal, "Not-", "ATTEMPT-ID: earlier\r\nNot-", 1)},
+		"refusal without word":                   {late: strings.Replace(refusal, "Not-Executed: 1\r\n", "", 1), kept: true},
+		"refusal without word nor end":           {late: strings.Replace(strings.Replace(refusal, "Not-Executed: 1\r\n", "", 1), "Content-Length: 4\r\n", "", 1), again: "full"},
+		"refusal, cut in its word":               {late: refusal[:strings.Index(refusal, "Executed")]},
+		"refusal, cut before its last line ends": {late: strings.SplitAfter(refusal, "Length: 4\r\n")[0]},
+		"redirect without end":                   {late: status(headOf("a1"), "302 Found") + "Location: /x\r\n\r\n", again: "more"},
+		"no content, and bytes without end":      {late: status(headOf("a1"), "204 No Content") + "\r\n", again: "more"},
+		"not modified, and bytes without end":    {late: status(headOf("a1"), "304 Not Modified") + "\r\n", again: "more"},
+		"informational heads, then the answer":   {late: strings.Repeat(oneMore, 200) + own, kept: true, answered: true},
+		"informational heads without end":        {late: "", again: oneMore},
+		"informational heads, then the end":      {late: strings.Repeat(oneMore, 20)},
+		"informational refusal":                  {late: "HTTP/1.1 103 Early Hints\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\n\r\n"},
+		"no seal":                                {late: "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n\r\n"},
+		"no seal, with a length":                 {late: "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nContent-Length: 0\r\n\r\n", kept: true},
+		"no seal nor content":                    {late: "HTTP/1.1 204 No Content\r\nAttempt-Id: a1\r\n\r\n", kept: true},
+		"an empty seal, in chunks":               {late: "HTTP/1.1 201 Created\r\nAttempt-Id: a1\r\nServer-Seal:\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+		"chunks, cut":                            {late: headOf("a1") + "Transfer-Encoding: chunked\r\n\r\n4\r\nansw\r\n"},
+		"chunks of HTTP/1.0, cut":                {late: old(headOf("a1")) + "Transfer-Encoding: chunked\r\n\r\n4\r\nansw\r\n"},
+	}
+	for _, at := range []string{"HTTP/1.1", "200 OK", "OK\r", "OK\r\n", "Attempt-", "Attempt-Id:", ": a1", "a1\r", "a1\r\n", "Server-Seal: se", "Content-Length", "Content-Length: 1"} {
+		cut := own[:strings.Index(own, at)+len(at)]
+		all[fmt.Sprintf("head cut after %q", at)] = bytesPlayed{late: cut}
+		all[fmt.Sprintf("head cut after %q and reset", at)] = bytesPlayed{late: cut, reset: true}
+		all[fmt.Sprintf("head cut after %q and kept", at)] = bytesPlayed{late: cut, kept: true}
+		all[fmt.Sprintf("head cut after %q, and an earlier refusal", at)] = bytesPlayed{late: cut + earlier}
+		all[fmt.Sprintf("head folded after %q and cut", at)] = bytesPlayed{late: cut + "\r\n "}
+		all[fmt.Sprintf("old head cut after %q", at)] = bytesPlayed{late: old(cut)}
+	}
+	return all
+}
+
+// TestNoBytesOfATargetMakeAPromise that does not hold, nor look like an answer that it
+// did not give: the caller gets the whole answer, or a failure that says nothing of
+// the request unless no target ran it.
+func TestNoBytesOfATargetMakeAPromise(t *testing.T) {
+	for name, played := range playedBytes() {
+		for path, body := range map[string]string{"/once/": strings.Repeat("b", 3000), "/upload/": strings.Repeat("b", 300_000), "/safe/": ""} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				f := start(t)
+				raw := f.addRaw(t, "t0", played)
+				f.addTarget(t, "t1", "")
+				method := http.MethodPost
+				if body == "" {
+					method = http.MethodGet
+				}
+				assert.Equal(t, f.sendFirst(t, method, path, "before", body).body, fencetarget.Body("t0", "before"))
+				got := f.sendFirst(t, method, path, "a1", body)
+				runs := int(raw.runs.Load()) + len(f.targets[1].Runs())
+				f.checkPromise(t, got, runs, path != "/safe/", played)
+				assert.Equal(t, f.sendFirst(t, method, path, "then", body).body, fencetarget.Body("t0", "then"))
+			})
+		}
+	}
+}
+
+// sendFirst sends a request to t0 first.
+func (f *fixture) sendFirst(t *testing.T, method, path, attempt, body string) got {
+	f.mu.Lock()
+	f.next = 0
+	f.mu.Unlock()
+	return f.send(t, method, path, attempt, body)
+}
+
+func (f *fixture) checkPromise(t *testing.T, got got, runs int, once bool, played bytesPlayed) {
+	t.Helper()
+	if once {
+		assert.Assert(t, runs <= 1, "%d runs", runs)
+	}
+	assert.Assert(t, got.status/100 != 2 || got.header.Get("Server-Seal") == fencetarget.Seal("a1"), "a success without the seal: %+v", got)
+	switch got.status {
+	case http.StatusOK:
+		whole := got.body == fencetarget.Body("t0", "a1") || got.body == fencetarget.Body("t1", "a1")
+		assert.Assert(t, whole || got.err != nil, "looks whole: %+v", got)
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		assert.Assert(t, !once || runs == 0, "%d for a request that ran %d times", got.status, runs)
+	}
+	if played.answered {
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, got.body, fencetarget.Body("t0", "a1"))
+	}
+}
+
+// TestNothingFollowsAnAnswerThatBreaksOff on the connection of a caller that has sent
+// further requests: they count as not read.
+func TestNothingFollowsAnAnswerThatBreaksOff(t *testing.T) {
+	long := strings.Repeat("x", 200_000)
+	for name, played := range map[string]bytesPlayed{
+		"length":           {late: headOf("a1") + "Content-Length: 300000\r\n\r\n" + long},
+		"chunks":           {late: headOf("a1") + "Transfer-Encoding: chunked\r\n\r\n30d40\r\n" + long + "\r\n"},
+		"no length, reset": {late: headOf("a1") + "\r\n" + long, reset: true},
+		"without end":      {late: headOf("a1") + "\r\n", again: "more"},
+		"chunks, an earlier refusal": {late: headOf("a1") + "Transfer-Encoding: chunked\r\n\r\n30d40\r\n" + long + "\r\n" +
+			refusalOf("earlier")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t)
+			f.addRaw(t, "t0", played)
+			conn, err := net.Dial("tcp", f.address)
+			assert.NilError(t, err)
+			defer conn.Close()
+			for _, attempt := range []string{"first", "a1", "next", "last"} {
+				_, err = fmt.Fprintf(conn, "GET /safe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: %s\r\nRequest-Deadline: 400\r\n\r\n", attempt)
+				assert.NilError(t, err)
+			}
+			in := bufio.NewReader(conn)
+			answer, err := http.ReadResponse(in, nil)
+			assert.NilError(t, err)
+			content, err := io.ReadAll(answer.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(content), fencetarget.Body("t0", "first"))
+			answer, err = http.ReadResponse(in, nil)
+			assert.NilError(t, err)
+			assert.Equal(t, answer.Header.Get("Attempt-Id"), "a1")
+			_, err = io.Copy(io.Discard, answer.Body)
+			assert.Assert(t, err != nil, "an answer that broke off looks whole")
+			rest, _ := io.ReadAll(in)
+			assert.Equal(t, string(rest), "")
+		})
+	}
+}
