--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -17,13 +18,7 @@
 
 // leader returns the name of the VM that leads, and how many VMs do.
 func (w *world) leader() (name string, count int) {
-	w.mu.Lock()
-	nodes := make([]*node, 0, len(w.nodes))
-	for _, n := range w.nodes {
-		nodes = append(nodes, n)
-	}
-	w.mu.Unlock()
-	for _, n := range nodes {
+	for _, n := range w.running() {
 		leads := false
 		if n.loop.Call(func() { leads = n.coordinator.Leads() }) && leads {
 			name = n.name
@@ -33,6 +28,13 @@
 	return name, count
 }
 
+// running returns the nodes that run.
+func (w *world) running() []*node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Values(w.nodes))
+}
+
 // servedWithin waits until all keys are held and returns how long that took.
 func (w *world) servedWithin(limit time.Duration) time.Duration {
 	began := time.Now()
@@ -147,6 +149,68 @@
 	})
 }
 
+// drainBound is the time from a target's notice to its last new request.
+const drainBound = 2 * time.Second
+
+// leavingKnownWithin waits until all nodes know that a target leaves.
+func (w *world) leavingKnownWithin(id string, limit time.Duration) {
+	began := time.Now()
+	for late := ""; ; time.Sleep(10 * time.Millisecond) {
+		late = ""
+		for _, n := range w.nodes {
+			n.mu.Lock()
+			if t := n.view.Targets[id]; t == nil || !t.Leaving {
+				late = n.name
+			}
+			n.mu.Unlock()
+		}
+		if late == "" {
+			return
+		}
+		if time.Since(began) > limit {
+			w.problem("%s does not know after %s that %s leaves", late, limit, id)
+			return
+		}
+	}
+}
+
+// TestLostChangeReachesAllInTime: a change of the targets that was lost on its way is
+// sent again within the time in which a leaving target must get nothing any more, also
+// while owners of keys change all the time.
+func TestLostChangeReachesAllInTime(t *testing.T) {
+	run(t, seed.Value, 5, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		for _, id := range []string{"t1", "t2", "t3"} {
+			time.Sleep(3300 * time.Millisecond)
+			w.set(func() { w.loseTargets = 4 })
+			w.leaveTarget(id)
+			w.leavingKnownWithin(id, drainBound)
+			w.set(func() { w.check(w.loseTargets == 0, "%d messages were not lost", w.loseTargets) })
+		}
+	})
+}
+
+// TestChangeReachesVMsThatWatched in time: those that did not hear the leader for a
+// while have targets of their own, to which the leader's differences do not fit.
+func TestChangeReachesVMsThatWatched(t *testing.T) {
+	run(t, seed.Value, 5, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		leader, _ := w.leader()
+		alone := "n1"
+		if leader == alone {
+			alone = "n2"
+		}
+		for _, id := range []string{"t1", "t2", "t3"} {
+			w.set(func() { w.cut[leader+">"+alone] = true })
+			time.Sleep(3500 * time.Millisecond)
+			w.set(func() { w.cut[leader+">"+alone] = false })
+			time.Sleep(400 * time.Millisecond)
+			w.leaveTarget(id)
+			w.leavingKnownWithin(id, drainBound)
+		}
+	})
+}
+
 // TestTargetEnded: keys of a target whose port refuses connections are served
 // again within a second and the renewal that notices it.
 func TestTargetEnded(t *testing.T) {
@@ -491,14 +555,16 @@
 
 // TestRandomWorlds plays faults in series and at once: killed, frozen and cut
 // VMs, targets that end, fall silent, leave and start again, a store that is
-// down, loses answers or turns VMs away, and orders that are carried out late.
+// down, loses answers or turns VMs away, orders that are carried out late, messages
+// that partitions hold up, connections that take long to be opened, answers of the store
+// that come late, and VMs that leave.
 // No key may ever have two owners, and all are held once the faults are over.
 func TestRandomWorlds(t *testing.T) {
 	for i := range *randomWorlds {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
 			t.Parallel()
 			run(t, seed.Value+i, 4, 5, func(w *world) {
-				w.set(func() { w.fencesOfAll = true })
+				w.set(func() { w.fencesOfAll, w.holdsBack = true, true })
 				w.servedWithin(2 * time.Second)
 				for range 20 {
 					w.randomFault()
@@ -520,7 +586,7 @@
 		}
 	}
 	for2s := time.Duration(500+w.draw(4000)) * time.Millisecond
-	kind := w.draw(17)
+	kind := w.draw(21)
 	w.set(func() { w.note("fault %d, %s, %s, %s", kind, name, id, for2s) })
 	switch kind {
 	case 0:
@@ -581,6 +647,27 @@
 	case 16:
 		w.fallSilent(id)
 		time.AfterFunc(for2s/2, func() { w.register(id, id) })
+	case 17:
+		opening := time.Duration(w.draw(600)) * time.Millisecond
+		w.set(func() { w.openings[id+":1"] = opening })
+		time.AfterFunc(for2s, func() { w.set(func() { delete(w.openings, id+":1") }) })
+		w.loseConnections(id)
+	case 18:
+		w.leaveTarget(id)
+		time.AfterFunc(for2s/2, func() { w.register(id, id) })
+	case 19:
+		w.mu.Lock()
+		n := w.nodes[name]
+		w.mu.Unlock()
+		if n != nil {
+			n.loop.Post(n.coordinator.Leave)
+			time.AfterFunc(for2s/3, func() { w.killNode(name) })
+			time.AfterFunc(for2s/2, func() { w.restartNode(name) })
+		}
+	case 20:
+		takes := time.Duration(w.draw(1400)) * time.Millisecond
+		w.set(func() { w.answersTake[name] = takes })
+		time.AfterFunc(for2s, func() { w.set(func() { delete(w.answersTake, name) }) })
 	case 12, 13:
 		w.cutDomain(domainOf(id), 4, 5, kind == 12, true)
 		time.AfterFunc(for2s, func() { w.cutDomain(domainOf(id), 4, 5, kind == 12, false) })
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"time"
 
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
@@ -23,17 +24,11 @@
 	// orders: what waits in its connections is from before.
 	stall      = 600 * time.Millisecond
 	afterStall = 300 * time.Millisecond
-	// reportOnWay is how old the report of a VM may be when it arrives, half of
-	// afterStall.
-	reportOnWay = afterStall / 2
 	// storeLostAfter is the time without an answer of the store after which the
 	// leader asks for another.
 	storeLostAfter = 1200 * time.Millisecond
 	// memberGone is the time after which a VM that does not report is forgotten.
 	memberGone = 4 * time.Second
-	// resendAfter is the time after which a part is sent again that a VM does
-	// not report.
-	resendAfter = 2 * time.Second
 	// pushPause gathers changes of the declarations before they are passed on.
 	pushPause = 20 * time.Millisecond
 	// writeTimeout bounds a write of the record.
@@ -47,8 +42,11 @@
 	record   fleet.Record
 	revision int64
 	keeper   *keeper
-	members  map[string]*member
-	parts    *parts
+	// orders is the context of the orders to targets; stop ends it.
+	orders  context.Context
+	stop    context.CancelFunc
+	members map[string]*member
+	parts   *parts
 
 	// confirmedAt is the uptime at which the store last showed that this VM leads.
 	confirmedAt time.Duration
@@ -107,6 +105,7 @@
 				return
 			}
 			c.lead = newLeadership(record, version, given, formerEnded, c.view, c.hold(), time.Now())
+			c.lead.orders, c.lead.stop = context.WithCancel(c.ctx)
 			c.lead.confirmedAt, c.lead.tickedAt = began, c.config.Uptime()
 			c.beginLeading(why, former)
 		})
@@ -159,12 +158,14 @@
 	c.pushAll()
 }
 
-// stepDown ends the leadership.
+// stepDown ends the leadership. What is under way to targets must not reach them after
+// the next leader's orders.
 func (c *Coordinator) stepDown(why string) {
 	if c.lead == nil {
 		return
 	}
 	events.LeadershipLost.Log(c.config.Logger).Uint64("term", c.lead.record.Term).Str("reason", why).Send()
+	c.lead.stop()
 	c.lead = nil
 	c.observer.Stop()
 	c.heardAt = time.Now().Add(-silentAfter)
