See another leader in the refusal of a renewal too

Callers would have seen two lives of a target take a key, the later one at a lower fence (OWNER): two VMs led, one with the store, the other followed by most VMs without it. A target refused a renewal of the second, since it had a fence of the first, and started again. The second gave the slice another fence, was confirmed by the reports of its VMs, and the target's next life, which knows no fence, took it.

Cause: only the refusal of a new fence was taken for the word of another leader. The answer to a renewal did not tell a higher fence from a connection that is gone, and a new fence was refused half a second later, if the target had not started again.

The two are told apart now. A renewal that its process refuses at the slice's present fence ends the orders until the store says who leads, as a new fence does.

--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -37,8 +37,8 @@
 type Targets interface {
 	// Grant gives a slice to a target, or renews it. again is set if the fence has
 	// been sent before; then it is sent only to the process that took it. An error of
-	// kind Conflict means that a higher fence is needed: the process has seen one, or
-	// is not known to be the same.
+	// kind Conflict means that a higher fence is needed: the process has seen one, or,
+	// if it is target.ErrProcessUnknown, it is not known to be the same.
 	Grant(ctx context.Context, to fleet.Target, slice fleet.Slice, again bool, hold time.Duration, handover string) error
 	Release(ctx context.Context, from fleet.Target, slice fleet.Slice) (handover string, err error)
 }
--- a/internal/process/coordinator/fences.go
+++ b/internal/process/coordinator/fences.go
@@ -61,24 +61,23 @@
 	return true
 }
 
-// isOutdone reports whether the refusal of a grant shows another leader: the fence was
-// new and is the slice's present one, so that this leader has given out no higher one
-// for its keys.
+// isOutdone reports whether a process that refuses a grant shows another leader: the fence
+// is the slice's present one, so that this leader has given out no higher one for its keys.
 func (k *keeper) isOutdone(t task) bool {
 	s := k.find(t.order)
-	return !t.again && s != nil && s.Last == t.slice.Last && s.Owner == t.target && len(s.From) == 0
+	return s != nil && s.Last == t.slice.Last && s.Owner == t.target && len(s.From) == 0
 }
 
 // conflicted gives a slice another fence after a grant for which a higher one is
 // needed, and returns it; 0 if there is none. It is granted without a pause if a renewal
-// found its connection gone; a new fence that was refused may be that of a leader which
+// found its connection gone; a fence that was refused may be that of a leader which
 // has been replaced.
-func (k *keeper) conflicted(t task, now time.Time, uptime time.Duration) uint64 {
+func (k *keeper) conflicted(t task, refused bool, now time.Time, uptime time.Duration) uint64 {
 	s := k.find(t.order)
 	if s == nil || !k.refence(s, uptime) {
 		return 0
 	}
-	if !t.again {
+	if refused {
 		t.fence = s.Fence
 		k.retryAt[t.order] = now.Add(retryOrder)
 	}
--- a/internal/process/coordinator/former_test.go
+++ b/internal/process/coordinator/former_test.go
@@ -201,3 +201,43 @@
 		})
 	}
 }
+
+// TestRefusedRenewalShowsAnotherLeader: a leader that most VMs follow, without the store, learns by a renewal that another gives out higher fences, and a target starts again.
+func TestRefusedRenewalShowsAnotherLeader(t *testing.T) {
+	for i := range uint64(8) {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			run(t, seed.Value+i, 5, 6, func(w *world) {
+				w.set(func() { w.fencesOfAll = true })
+				w.servedWithin(2 * time.Second)
+				time.Sleep(3*time.Second + time.Duration(i)*90*time.Millisecond)
+				first, _ := w.leader()
+				inside, outside := []string{first}, []string{}
+				for _, name := range everybody(5, 0) {
+					switch {
+					case name == first:
+					case len(inside) < 3:
+						inside = append(inside, name)
+					default:
+						outside = append(outside, name)
+					}
+				}
+				for _, name := range inside {
+					w.cutFor(20*time.Second, name+">store")
+					for _, other := range outside {
+						w.cutFor(20*time.Second, name+">"+other)
+						w.cutFor(20*time.Second, other+">"+name)
+					}
+				}
+				for began := time.Now(); !w.noted("a higher fence was seen"); time.Sleep(5 * time.Millisecond) {
+					if time.Since(began) > 8*time.Second {
+						w.set(func() { w.problem("no order of the former leader was refused") })
+						return
+					}
+				}
+				w.endTarget("t2")
+				w.register("t2", "t2")
+				time.Sleep(4 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
@@ -226,10 +228,10 @@
 		l.keeper.failed(t, time.Now())
 		return
 	}
-	target := *known
+	to := *known
 	go func() {
 		began := time.Now()
-		handover, err := c.send(l.orders, t, target)
+		handover, err := c.send(l.orders, t, to)
 		c.config.Loop.Post(func() {
 			if c.lead == l {
 				c.orderDone(t, handover, err, began)
@@ -238,15 +240,15 @@
 	}()
 }
 
-func (c *Coordinator) send(ctx context.Context, t task, target fleet.Target) (string, error) {
+func (c *Coordinator) send(ctx context.Context, t task, to fleet.Target) (string, error) {
 	if t.release {
 		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
-		return c.config.Targets.Release(ctx, target, t.slice)
+		return c.config.Targets.Release(ctx, to, t.slice)
 	}
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	return "", c.config.Targets.Grant(ctx, target, t.slice, t.again, c.hold(), t.handover)
+	return "", c.config.Targets.Grant(ctx, to, t.slice, t.again, c.hold(), t.handover)
 }
 
 // hold is how long a grant lasts.
@@ -272,10 +274,11 @@
 		k.failed(t, now)
 	case fault.Is(err, fault.Conflict):
 		k.failed(t, now)
-		if k.isOutdone(t) {
+		refused := !errors.Is(err, target.ErrProcessUnknown)
+		if refused && k.isOutdone(t) {
 			c.lead.outdone(c.config.Uptime())
 		}
-		higher = k.conflicted(t, now, c.config.Uptime())
+		higher = k.conflicted(t, refused, now, c.config.Uptime())
 		changed = higher != 0
 	default:
 		changed = k.granted(t, err == nil, now)
--- a/internal/process/coordinator/target_test.go
+++ b/internal/process/coordinator/target_test.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
@@ -94,7 +95,7 @@
 	unknown := again && (!known || process.ended)
 	w.mu.Unlock()
 	if unknown {
-		return fault.New(fault.Conflict, "use a higher fence", "the connection is gone")
+		return fault.Wrap(target.ErrProcessUnknown, fault.Conflict, "use a higher fence", "the connection is gone")
 	}
 	if !again {
 		process = nil
