--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -496,7 +496,8 @@
 // down, loses answers or turns VMs away, orders that are carried out late, messages
 // that partitions hold up, connections that take long to be opened, answers of the store
 // that come late, and VMs that leave.
-// No key may ever have two owners, and all are held once the faults are over.
+// No key may ever have two owners, and all are held once the faults are over. In every
+// second world there are more of them at once.
 func TestRandomWorlds(t *testing.T) {
 	for i := range *randomWorlds {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
@@ -504,10 +505,15 @@
 			run(t, seed.Value+i, 4, 5, func(w *world) {
 				w.set(func() { w.fencesOfAll, w.holdsBack = true, true })
 				w.servedWithin(2 * time.Second)
-				for range 20 {
-					w.randomFault()
-					time.Sleep(time.Duration(200+w.draw(1800)) * time.Millisecond)
+				faults, longest, pause := 20, 4000, 1800
+				if i%2 == 1 {
+					faults, longest, pause = 40, 9000, 800
 				}
+				for range faults {
+					w.randomFault(longest)
+					time.Sleep(time.Duration(200+w.draw(pause)) * time.Millisecond)
+				}
+				time.Sleep(time.Duration(longest+2000) * time.Millisecond)
 				w.heal()
 				w.servedWithin(16 * time.Second)
 			})
@@ -515,7 +521,8 @@
 	}
 }
 
-func (w *world) randomFault() {
+// randomFault begins a fault that ends within half a second and a number of milliseconds.
+func (w *world) randomFault(longest int) {
 	name := fmt.Sprintf("n%d", w.draw(4))
 	id := fmt.Sprintf("t%d", w.draw(5))
 	if w.draw(2) == 0 {
@@ -523,7 +530,7 @@
 			name = leader
 		}
 	}
-	for2s := time.Duration(500+w.draw(4000)) * time.Millisecond
+	for2s := time.Duration(500+w.draw(longest)) * time.Millisecond
 	kind := w.draw(21)
 	w.set(func() { w.note("fault %d, %s, %s, %s", kind, name, id, for2s) })
 	switch kind {
@@ -657,7 +664,6 @@
 
 // heal ends all faults.
 func (w *world) heal() {
-	time.Sleep(6 * time.Second)
 	w.set(func() {
 		clear(w.cut)
 		clear(w.refused)
