List two leaders without a common target as a known fault

A world causes it: one VM is cut off with the store and the targets of its failure domain from all others.

Not mended: neither leader can tell, and a bound on either side has a price. The one with the store would have to wait for VMs that may have lost power for good; the other would have to stop renewing in an outage of the store as soon as a VM is lost.

--- a/internal/process/coordinator/former_test.go
+++ b/internal/process/coordinator/former_test.go
@@ -241,3 +241,43 @@
 		})
 	}
 }
+
+// TestLeadersWithoutACommonTarget: one reaches the store and the targets of its failure domain, the other most VMs and the other targets, whose entries lapse.
+func TestLeadersWithoutACommonTarget(t *testing.T) {
+	run(t, seed.Value, 5, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		time.Sleep(2 * time.Second)
+		leader, _ := w.leader()
+		alone := ""
+		for _, name := range everybody(5, 0) {
+			if name != leader && domainOf(name) != domainOf(leader) {
+				alone = name
+			}
+		}
+		for _, name := range everybody(5, 0) {
+			if name == alone {
+				continue
+			}
+			w.cutFor(25*time.Second, name+">store")
+			w.cutFor(25*time.Second, name+">"+alone)
+			w.cutFor(25*time.Second, alone+">"+name)
+			for _, id := range everybody(0, 6) {
+				if domainOf(id) == domainOf(alone) {
+					w.cutFor(25*time.Second, name+">"+id)
+				}
+			}
+		}
+		var beyond []string
+		for _, id := range everybody(0, 6) {
+			if domainOf(id) != domainOf(alone) {
+				w.cutFor(25*time.Second, alone+">"+id)
+				beyond = append(beyond, id)
+			}
+		}
+		time.Sleep(8 * time.Second)
+		for _, id := range beyond {
+			w.remove("servers/" + id)
+		}
+		time.Sleep(16 * time.Second)
+	})
+}
