--- a/internal/testutil/fencetarget/fencetarget.go
+++ b/internal/testutil/fencetarget/fencetarget.go
@@ -29,7 +29,8 @@
 	// "silent" or "early"; "refusal", "refusal-parts" and "refusal-only" write an
 	// earlier refusal once more and "refusal-cut" the beginning of one, "unstated"
 	// answers 503 without a word that the request did not run, "head" stops in the
-	// head, and "endless" and "endless-chunked" write a body until the caller closes.
+	// head, and "endless", "endless-chunked" and "flood" write a body until the caller
+	// closes, the last one as fast as it can.
 	Fault func(r *http.Request) string
 }
 
@@ -274,12 +275,15 @@
 		text = "HTTP/1.1 421 Misdirected Requ" + text
 	case "head":
 		text = strings.TrimSuffix(message(attempt, "", false), "\r\n")
+	case "flood":
+		writeOn(conn, message(attempt, "", false), strings.Repeat("x", 4<<10), 0)
+		return
 	case "endless":
-		writeOn(conn, message(attempt, "", false), strings.Repeat("x", 4<<10))
+		writeOn(conn, message(attempt, "", false), strings.Repeat("x", 4<<10), time.Millisecond)
 		return
 	case "endless-chunked":
 		writeOn(conn, strings.Replace(message(attempt, "", false), "\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n", 1),
-			"1000\r\n"+strings.Repeat("x", 4<<10)+"\r\n")
+			"1000\r\n"+strings.Repeat("x", 4<<10)+"\r\n", time.Millisecond)
 		return
 	case "unframed":
 		text = message(attempt, Body(t.ID, attempt), false)
@@ -298,10 +302,11 @@
 // earlierRefusal is the refusal of a request that came before.
 const earlierRefusal = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: earlier\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
-// writeOn writes begin, and again until the peer takes no more.
-func writeOn(conn net.Conn, begin, again string) {
+// writeOn writes begin, and again with pauses until the peer takes no more.
+func writeOn(conn net.Conn, begin, again string, pause time.Duration) {
 	_, err := io.WriteString(conn, begin)
 	for err == nil {
+		time.Sleep(pause)
 		_, err = io.WriteString(conn, again)
 	}
 }
