Show with a failed test for how long its processes got no processor

Tests with real processes fail on a machine that is busy with other work, and the question whether the product was slow or was not run took a trial each time. The kernel counts this for each thread (schedstat); elsewhere nothing is shown.

--- a/internal/testutil/cluster/process.go
+++ b/internal/testutil/cluster/process.go
@@ -36,9 +36,12 @@
 	t.Helper()
 	p := &Process{t: t, Name: name, path: path, args: args, LogPath: filepath.Join(dir, name+".log")}
 	p.Start()
+	waits := watchWaits(p)
 	t.Cleanup(func() {
+		worst := waits()
 		p.Kill()
 		if t.Failed() {
+			t.Logf("longest waits of a thread of %s for a processor, in intervals of %s: %v", name, waitSample, worst)
 			t.Logf("end of the log of %s:\n%s", name, p.logTail())
 		}
 	})
