Send a part of the state again that was lost while others change

The leader kept one time for all parts of the state that it had sent to a VM, and took a part for lost only if none had been sent for 2 s. Owners of keys go out each second while keys move, so a configuration (or list of targets, or difference of owners) that was lost with a link was not sent again as long as they did.

Each part now has its own progress: it was lost if the VM has reported the same other version for 2 s. TestLostPartIsSentAgain failed before for both parts that it loses (the configuration after 3.75 s, by the next version; the owners never).

--- a/internal/process/coordinator/parts_test.go
+++ b/internal/process/coordinator/parts_test.go
@@ -8,13 +8,16 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
+	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/keyspace"
 )
@@ -379,3 +382,61 @@
 	c.have.Targets = 8
 	assert.Equal(t, sender.sent[0].GetMemberReport().Have.Targets, uint64(7))
 }
+
+// TestLostPartIsSentAgain within the bound, while the owners of keys change all the
+// time and arrive, and also if some of those are lost.
+func TestLostPartIsSentAgain(t *testing.T) {
+	for _, lost := range []string{"config", "slices"} {
+		synctest.Test(t, func(t *testing.T) { loseOnce(t, lost) })
+	}
+}
+
+// loseOnce lets one message with a part get lost, and checks that the VM has the part
+// soon after.
+func loseOnce(t *testing.T, lost string) {
+	sender := &keptSender{}
+	m := &member{Member: fleet.Member{VM: "b", Incarnation: "1"}}
+	c := &Coordinator{
+		config: Config{Sender: sender, Uptime: func() time.Duration { return 0 }, Repeats: func(time.Time) map[string]admission.RepeatCount { return nil }},
+		lead:   &leadership{parts: newParts(), members: map[string]*member{"b": m}}, view: &fleet.View{},
+	}
+	have := &peerv1.PartVersions{}
+	set := manySlices(10)
+	began, droppedAt := time.Now(), time.Time{}
+	var wanted uint64
+	for time.Since(began) < 20*time.Second {
+		list := slices.Clone(set["service"])
+		list[0].Owner.Born++
+		set = sliceSet{"service": list}
+		c.lead.parts.setSlices(set)
+		c.lead.parts.setConfig(&fleet.Config{Version: 1 + uint64(time.Since(began)/(5*time.Second))})
+		c.handleReport(peer.Peer{VM: "b", Incarnation: "1"}, &peerv1.MemberReport{Have: have})
+		state := sender.sent[len(sender.sent)-1].GetFleetState()
+		drop := time.Since(began) > 6*time.Second && droppedAt.IsZero()
+		switch {
+		case drop && lost == "config":
+			// The configuration was lost while the link was cut.
+			have.Config, m.sent.Config = have.Config-1, have.Config
+			droppedAt, wanted = time.Now(), have.Config+1
+		case drop && lost == "slices" && state.Slices != nil:
+			droppedAt = time.Now()
+			state.Slices = nil
+		}
+		if state.Config != nil {
+			have.Config = state.Versions.Config
+		}
+		if part := state.Slices; part != nil && (part.Base == 0 || part.Base == have.Slices) {
+			have.Slices = state.Versions.Slices
+			if lost == "slices" && !droppedAt.IsZero() {
+				assert.Assert(t, time.Since(droppedAt) <= resendAfter+2*detailPause, "after %s", time.Since(droppedAt))
+				return
+			}
+		}
+		if lost == "config" && !droppedAt.IsZero() && have.Config >= wanted {
+			assert.Assert(t, time.Since(droppedAt) <= resendAfter+2*reportEvery, "after %s", time.Since(droppedAt))
+			return
+		}
+		time.Sleep(reportEvery)
+	}
+	t.Errorf("the lost %s was not sent again", lost)
+}
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -24,10 +24,10 @@
 	// followedAt is the uptime at which the VM last said that it follows this one.
 	followedAt time.Duration
 	term       uint64
-	// sent are the versions that were last sent, at sentAt; nil until the VM has
-	// said what it has. detailsAt is when owners of keys or VMs were last sent.
+	// sent are the versions that were last sent; nil until the VM has said what it
+	// has. detailsAt is when owners of keys or VMs were last sent.
 	sent      *peerv1.PartVersions
-	sentAt    time.Time
+	progress  struct{ config, targets, slices, members progress }
 	detailsAt time.Time
 	// waits is set while the VM lacks the targets and it is not its turn to get all
 	// of them; loadingSince is when they were sent to it, until it has reported them.
@@ -35,6 +35,46 @@
 	loadingSince time.Time
 }
 
+// progress is which version of a part a VM has, and when it last got another one or had
+// the one that was sent.
+type progress struct {
+	has uint64
+	at  time.Time
+}
+
+// lost takes in a report and reports whether the part was lost that was sent.
+func (p *progress) lost(has, sent uint64, now time.Time) bool {
+	if has != sent && has == p.has && now.Sub(p.at) <= resendAfter {
+		return false
+	}
+	lost := has != sent && has == p.has
+	p.has, p.at = has, now
+	return lost
+}
+
+// reported takes in what a VM has. A part that was lost is sent again whatever becomes
+// of the others, of which some change all the time.
+func (m *member) reported(have *peerv1.PartVersions, now time.Time) {
+	if m.sent == nil {
+		m.sent = &peerv1.PartVersions{}
+		proto.Merge(m.sent, have)
+	}
+	for _, part := range []struct {
+		progress *progress
+		has      uint64
+		sent     *uint64
+	}{
+		{&m.progress.config, have.GetConfig(), &m.sent.Config},
+		{&m.progress.targets, have.GetTargets(), &m.sent.Targets},
+		{&m.progress.slices, have.GetSlices(), &m.sent.Slices},
+		{&m.progress.members, have.GetMembers(), &m.sent.Members},
+	} {
+		if part.progress.lost(part.has, *part.sent, now) {
+			*part.sent = part.has
+		}
+	}
+}
+
 // pushWithin passes changes on after a pause, together with those that follow.
 func (c *Coordinator) pushWithin(pause time.Duration) {
 	at := time.Now().Add(pause)
@@ -108,13 +148,13 @@
 func (c *Coordinator) addParts(state *peerv1.FleetState, m *member, now time.Time) {
 	p := c.lead.parts
 	if m.sent.Config < p.configVersion {
-		state.Config, m.sent.Config, m.sentAt = p.config, p.configVersion, now
+		state.Config, m.sent.Config = p.config, p.configVersion
 	}
 	m.waits = false
 	if p.targets.digest != 0 && m.sent.Targets != p.targets.digest {
 		part := p.targets.since(m.sent.Targets, now)
 		if m.waits = part.Base == 0 && !c.mayLoad(m, len(part.Body), now); !m.waits {
-			state.Targets, m.sent.Targets, m.sentAt = part, p.targets.digest, now
+			state.Targets, m.sent.Targets = part, p.targets.digest
 		}
 	}
 	if now.Sub(m.detailsAt) < c.detailPause() {
@@ -122,12 +162,12 @@
 	}
 	if p.members.digest != 0 && m.sent.Members != p.members.digest {
 		state.Members = p.members.since(m.sent.Members, now)
-		m.sent.Members, m.sentAt, m.detailsAt = p.members.digest, now, now
+		m.sent.Members, m.detailsAt = p.members.digest, now
 	}
 	// Owners of keys are of no use without the targets.
 	if p.slices.digest != 0 && m.sent.Slices != p.slices.digest && !m.waits && m.loadingSince.IsZero() {
 		state.Slices = p.slices.since(m.sent.Slices, now)
-		m.sent.Slices, m.sentAt, m.detailsAt = p.slices.digest, now, now
+		m.sent.Slices, m.detailsAt = p.slices.digest, now
 	}
 }
 
@@ -187,12 +227,7 @@
 		c.membersChanged()
 	}
 	m.heardAt, m.followedAt, m.term = now, c.config.Uptime(), report.Term
-	if m.sent == nil || now.Sub(m.sentAt) > resendAfter {
-		m.sent = &peerv1.PartVersions{}
-		if report.Have != nil {
-			m.sent = proto.Clone(report.Have).(*peerv1.PartVersions)
-		}
-	}
+	m.reported(report.Have, now)
 	if !m.loadingSince.IsZero() && l.parts.targets.has(report.Have.GetTargets()) {
 		c.loaded(m, now)
 	}
