Let the stand-ins of servers do more of what servers do

Clocks that measure grants run slow, grants without an answer take effect late, a release is answered once the work on its keys has ended, servers that start during traffic say that they are cold, and their entries name a failure domain. Arrivals are counted for the cold limit, and grants that others replace are dropped, so that long runs do not slow down. A cold time is 3 s, as on the users' sites (it was 1 s).

--- a/internal/testutil/deployment/caller.go
+++ b/internal/testutil/deployment/caller.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -21,7 +22,10 @@
 	// Whole is set if the answer is a server's whole answer to this attempt.
 	Whole bool
 	Err   error
+	Began time.Time
 	Took  time.Duration
+	// Kept is set if the request went over a connection that had been used before.
+	Kept bool
 }
 
 // Caller sends requests to one VM over kept connections.
@@ -51,16 +55,18 @@
 	request.Header.Set("Attempt-Id", r.Attempt)
 	request.Header.Set("Request-Deadline", "2500")
 	request.Header.Set("Shard-Key", fmt.Sprint(key))
-	began := time.Now()
-	response, err := c.client.Do(request)
-	r.Took = time.Since(began)
+	r.Began = time.Now()
+	response, err := c.client.Do(request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(got httptrace.GotConnInfo) { r.Kept = got.Reused },
+	})))
+	r.Took = time.Since(r.Began)
 	if err != nil {
 		r.Err = err
 		return r
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
-	r.Took = time.Since(began)
+	r.Took = time.Since(r.Began)
 	r.Status, r.Err = response.StatusCode, err
 	id := ""
 	_, _ = fmt.Sscanf(string(content), "answer of %s to", &id)
--- a/internal/testutil/deployment/deployment.go
+++ b/internal/testutil/deployment/deployment.go
@@ -4,6 +4,7 @@
 package deployment
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -30,6 +31,9 @@
 // free service, those under /keyed/ to the keyed one.
 const Host = "gate.example"
 
+// ColdRate is the number of requests a second that a cold target bears.
+const ColdRate = 11
+
 // Deployment is a running deployment. It ends with the test.
 type Deployment struct {
 	t     testing.TB
@@ -75,7 +79,7 @@
 // New starts the store and writes the first configuration.
 func New(t testing.TB) *Deployment {
 	d := &Deployment{
-		t: t, dir: t.TempDir(), proxy: faultproxy.New(t), Store: platformstub.New(), targets: map[string]*Target{},
+		t: t, dir: keptDir(t), proxy: faultproxy.New(t), Store: platformstub.New(), targets: map[string]*Target{},
 	}
 	server := httptest.NewServer(d.Store)
 	t.Cleanup(server.Close)
@@ -85,6 +89,20 @@
 	return d
 }
 
+// keptDir returns a directory that stays if the test fails, with the logs in it.
+func keptDir(t testing.TB) string {
+	dir, err := os.MkdirTemp("", "chestnutcourse-deployment-")
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logs of %s: %s", t.Name(), dir)
+			return
+		}
+		_ = os.RemoveAll(dir)
+	})
+	return dir
+}
+
 // Configure writes the next version of the configuration, with more routes by
 // prefix and service.
 func (d *Deployment) Configure(more map[string]string) {
@@ -101,7 +119,7 @@
 	}
 	service := func(name string, keyed bool) map[string]any {
 		return map[string]any{
-			"name": name, "healthPath": "/health", "maxConnections": 200, "warmup": "1s", "warmupPerS": 11.0, "sharded": keyed, "warm": "1s",
+			"name": name, "healthPath": "/health", "maxConnections": 200, "warmup": "3s", "warmupPerS": ColdRate, "sharded": keyed, "warm": "1s",
 		}
 	}
 	d.Store.Set("config", "main", map[string]any{
@@ -140,6 +158,7 @@
 // end ends the server's process.
 func (t *Target) end() {
 	t.ended.Store(true)
+	t.Stop()
 	_ = t.server.Listener.Close()
 	t.server.CloseClientConnections()
 }
@@ -151,13 +170,18 @@
 	return d.targets[id]
 }
 
+// coldLeft is how much longer a target is cold.
+func (t *Target) coldLeft() time.Duration {
+	return max(t.ColdFor-time.Since(time.UnixMilli(t.Born)), 0)
+}
+
 // Register writes a server's entry with a state.
 func (d *Deployment) Register(id, state string) {
 	t := d.Target(id)
 	d.Store.Set("servers", id, map[string]any{
 		"address": t.Link.Address, "born": t.Born,
-		"info": map[string]any{"service": t.Service, "version": "v1", "zone": "a", "maxConcurrency": 4},
-	}, map[string]any{"state": state, "sequence": time.Now().UnixMilli(), "warmupLeft": "0ms"})
+		"info": map[string]any{"service": t.Service, "version": "v1", "zone": cmp.Or(t.Domain, "a"), "maxConcurrency": 4},
+	}, map[string]any{"state": state, "sequence": time.Now().UnixMilli(), "warmupLeft": fmt.Sprintf("%dms", t.coldLeft().Milliseconds())})
 }
 
 // EndTarget ends a server's process: its port refuses connections.
@@ -185,7 +209,7 @@
 	vm.Peers = d.proxy.Link("peers-"+name, fmt.Sprintf("127.0.0.1:%d", peers))
 	vm.settings = filepath.Join(d.dir, name+".conf")
 	text := strings.Join([]string{
-		"nodeName=" + name, "ip=127.0.0.1", "zone=a", "region=r", "zones.a=r",
+		"nodeName=" + name, "ip=127.0.0.1", "zone=a", "region=r", "zones.a=r", "zones.b=r",
 		"endpoints.front=" + vm.Callers, "endpoints.ready=" + vm.Ready,
 		fmt.Sprintf("internalPorts=%d,%d", peers, metrics), "limits.cpuShare=1", "limits.memoryMb=200",
 		"platform.address=" + vm.Store.Address,
--- a/internal/testutil/fencetarget/fencetarget.go
+++ b/internal/testutil/fencetarget/fencetarget.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +19,8 @@
 // Settings say how a target behaves; the zero value serves at once.
 type Settings struct {
 	ID string
+	// Domain is the failure domain that its entry names; empty means "a".
+	Domain string
 	// Keyed targets run requests for keys that they hold only.
 	Keyed bool
 	// Slots is the number of requests that run at once; 0 means no limit.
@@ -31,6 +34,13 @@
 	// answers 503 without a word that the request did not run, "head" stops in the
 	// head, and "endless" and "endless-chunked" write a body until the caller closes.
 	Fault func(r *http.Request) string
+	// Clock is how long a second of a hold lasts on the target's clock; 0 means 1 s.
+	Clock float64
+	// Late, if set, returns after how long a grant takes effect whose answer is lost; 0
+	// means at once, with an answer.
+	Late func() time.Duration
+	// ColdFor is how long the target is cold after its start.
+	ColdFor time.Duration
 }
 
 // Run is one request that a target began to work on.
@@ -40,14 +50,25 @@
 	At                          time.Time
 }
 
+// Arrival is the arrival of a request, also of one that the target refused as full.
+type Arrival struct {
+	Attempt string
+	At      time.Time
+}
+
 // Target is a target; it is an http.Handler.
 type Target struct {
 	Settings
-	mu      sync.Mutex
-	running int
-	runs    []Run
-	grants  []grant
-	takes   []Take
+	mu sync.Mutex
+	// freed is signalled when a request ends.
+	freed    *sync.Cond
+	running  int
+	working  map[int]int
+	runs     []Run
+	arrivals []Arrival
+	grants   []grant
+	takes    []Take
+	stopped  bool
 }
 
 type grant struct {
@@ -61,10 +82,31 @@
 	First, Last int
 	Fence       uint64
 	At          time.Time
+	// Late is set if it took effect long after its arrival.
+	Late bool
 }
 
 // New returns a target.
-func New(settings Settings) *Target { return &Target{Settings: settings} }
+func New(settings Settings) *Target {
+	t := &Target{Settings: settings, working: map[int]int{}}
+	t.freed = sync.NewCond(&t.mu)
+	return t
+}
+
+// Stop ends the target's process as far as grants are concerned that are under way.
+func (t *Target) Stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+}
+
+// Arrivals returns when requests arrived, without those for keys that the target does
+// not hold and those for others.
+func (t *Target) Arrivals() []Arrival {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Arrival(nil), t.arrivals...)
+}
 
 // Runs returns the requests that the target began to work on.
 func (t *Target) Runs() []Run {
@@ -126,10 +168,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	if r.URL.Path == "/release" {
-		t.grants = append(t.grants, grant{body.StartKey, body.Target, body.Fence, time.Time{}})
+		t.release(body)
 		w.Header().Set("Duty-Handover", "handover-"+t.ID)
 		return
 	}
@@ -138,15 +178,64 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if t.Clock != 0 {
+		hold = time.Duration(float64(hold) * t.Clock)
+	}
+	until, late := time.Now().Add(hold), time.Duration(0)
+	if t.Late != nil {
+		late = t.Late()
+	}
+	time.Sleep(late)
+	if !t.take(body, until, late > 0) {
+		w.WriteHeader(http.StatusConflict)
+	}
+	if late > 0 {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// release ends new work on keys and waits for the present one.
+func (t *Target) release(body orderBody) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.add(grant{body.StartKey, body.Target, body.Fence, time.Time{}})
+	for t.worksOn(body.StartKey, body.Target) {
+		t.freed.Wait()
+	}
+}
+
+func (t *Target) worksOn(first, last int) bool {
+	for key := range t.working {
+		if first <= key && key <= last {
+			return true
+		}
+	}
+	return false
+}
+
+// take takes a grant unless a higher fence was seen on one of its keys.
+func (t *Target) take(body orderBody, until time.Time, late bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		return false
+	}
 	for _, g := range t.grants {
 		if g.first <= body.Target && body.StartKey <= g.last && g.fence > body.Fence {
-			w.WriteHeader(http.StatusConflict)
-			return
+			return false
 		}
 	}
-	now := time.Now()
-	t.grants = append(t.grants, grant{body.StartKey, body.Target, body.Fence, now.Add(hold)})
-	t.takes = append(t.takes, Take{body.StartKey, body.Target, body.Fence, now})
+	t.add(grant{body.StartKey, body.Target, body.Fence, until})
+	t.takes = append(t.takes, Take{body.StartKey, body.Target, body.Fence, time.Now(), late})
+	return true
+}
+
+// add adds a grant and drops those that it replaces.
+func (t *Target) add(added grant) {
+	t.grants = slices.DeleteFunc(t.grants, func(g grant) bool {
+		return added.first <= g.first && g.last <= added.last && g.fence <= added.fence
+	})
+	t.grants = append(t.grants, added)
 }
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
@@ -164,7 +253,7 @@
 		t.refuse(w, r, status)
 		return
 	}
-	defer t.end()
+	defer t.end(key)
 	select {
 	case <-time.After(t.Work):
 	case <-r.Context().Done():
@@ -187,23 +276,29 @@
 func (t *Target) begin(r *http.Request, key int, body, fault string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch {
-	case t.Keyed && !t.holds(key):
+	if t.Keyed && !t.holds(key) {
 		return http.StatusMisdirectedRequest
-	case fault == "refuse", t.Slots > 0 && t.running >= t.Slots:
+	}
+	t.arrivals = append(t.arrivals, Arrival{r.Header.Get("Attempt-Id"), time.Now()})
+	if fault == "refuse" || t.Slots > 0 && t.running >= t.Slots {
 		return http.StatusServiceUnavailable
 	}
 	t.running++
+	t.working[key]++
 	t.runs = append(t.runs, Run{
 		Attempt: r.Header.Get("Attempt-Id"), Method: r.Method, Path: r.URL.RequestURI(), Body: body, Key: key, At: time.Now(),
 	})
 	return 0
 }
 
-func (t *Target) end() {
+func (t *Target) end(key int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.running--
+	if t.working[key]--; t.working[key] == 0 {
+		delete(t.working, key)
+	}
+	t.freed.Broadcast()
 }
 
 func (t *Target) refuse(w http.ResponseWriter, r *http.Request, status int) {
