Believe that an entry is gone unless the store was away just now

Cause: the leader had lost the store as the target left, and another VM led 0.6 s later. That VM had led before, and had been turned away by the store 15 s earlier. Its observer still had that for an outage under way, so that the first call that succeeded began the 2.3 s for which missing entries may come back.

What a former watch took for an outage is dropped when a watch begins. That entries may be about to come back is taken from this VM's own last failure to read the record.

TestRemovalIsBelievedAtOnceByALaterWatch failed before and passes. TestEntriesMayComeBackAfterAnOutage keeps the time after a real outage.

--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -141,7 +141,7 @@
 		Str("reason", why).Str("leader_before", former.Leader.VM).Int("members", len(l.members)).Send()
 	if !c.observer.Watching() {
 		c.observer.Seed(c.view)
-		c.observer.Start(c.ctx)
+		c.observer.Start(c.ctx, c.storeFailedAt)
 	}
 	// The own view goes its own ways from here on.
 	l.parts.adopt(c.view, c.have)
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -47,7 +47,7 @@
 	}
 	if silent > watchAfter && now.Sub(c.startedAt) > watchAfter && !c.observer.Watching() {
 		c.observer.Seed(c.view)
-		c.observer.Start(c.ctx)
+		c.observer.Start(c.ctx, c.storeFailedAt)
 	}
 	if c.observer.Watching() && c.observer.Tick(now) {
 		c.publishObserved()
--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -100,11 +100,15 @@
 	}
 }
 
-// Start begins the watches.
-func (o *Observer) Start(ctx context.Context) {
+// Start begins the watches. storeFailedAt is when the store last failed this VM, so
+// that entries may be about to come back; zero if it never did. What earlier watches
+// took for an outage says nothing of the store now.
+func (o *Observer) Start(ctx context.Context, storeFailedAt time.Time) {
 	if o.cancel != nil {
 		return
 	}
+	o.outage, o.trustGoneFrom = false, storeFailedAt.Add(returnTime)
+	clear(o.missing)
 	ctx, o.cancel = context.WithCancel(ctx)
 	o.follow(ctx, o.config.Names.Config, o.configListed, o.configChanged)
 	o.follow(ctx, o.config.Names.Targets, o.targetsListed, o.targetsChanged)
--- /dev/null
+++ b/internal/process/observer/observer_test.go
@@ -0,0 +1,117 @@
+package observer
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/loop"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/store"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
+)
+
+// unreliable is a store that can be turned off.
+type unreliable struct {
+	*store.Memory
+	down atomic.Bool
+}
+
+var errDown = fault.New(fault.Unavailable, "try again", "the store is down")
+
+func (s *unreliable) List(ctx context.Context, prefix string) ([]store.Object, int64, error) {
+	if s.down.Load() {
+		return nil, 0, errDown
+	}
+	return s.Memory.List(ctx, prefix)
+}
+
+func (s *unreliable) Watch(ctx context.Context, prefix string, after int64) ([]store.Object, int64, error) {
+	if s.down.Load() {
+		return nil, 0, errDown
+	}
+	return s.Memory.Watch(ctx, prefix, after)
+}
+
+// observed is an observer with targets t0 and t1, of which the store has t0 only.
+type observed struct {
+	*Observer
+	store *unreliable
+}
+
+func newObserved(t *testing.T) *observed {
+	logger, posts := zerolog.Nop(), loop.New()
+	o := &observed{store: &unreliable{Memory: store.NewMemory()}}
+	_, err := o.store.Put(t.Context(), "targets/t0", []byte("t0"), store.Absent)
+	assert.NilError(t, err)
+	o.Observer = New(Config{
+		Names: Names{
+			Config: "config/", Targets: "targets/", Evacuations: "evacuations/",
+			DecodeTarget: func(object store.Object, _ time.Time) (*fleet.Target, error) {
+				return &fleet.Target{Life: fleet.Life{ID: string(object.Value), Born: 1}}, nil
+			},
+		},
+		Store: o.store, Loop: posts, Logger: &logger, Changed: func() {}, Contact: func(error) {},
+	})
+	go posts.Run(t.Context())
+	return o
+}
+
+// watch starts the observer with what other VMs know and lets it run for a time.
+func (o *observed) watch(t *testing.T, storeFailedAt time.Time, during time.Duration) {
+	o.on(func() {
+		targets := map[string]*fleet.Target{}
+		for _, id := range []string{"t0", "t1"} {
+			targets[id] = &fleet.Target{Life: fleet.Life{ID: id, Born: 1}}
+		}
+		o.Seed(&fleet.View{Targets: targets})
+		o.Start(t.Context(), storeFailedAt)
+	})
+	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		o.on(func() { o.Tick(time.Now()) })
+	}
+}
+
+// on runs a function on the loop.
+func (o *observed) on(f func()) {
+	done := make(chan struct{})
+	o.config.Loop.Post(func() { f(); close(done) })
+	<-done
+}
+
+func (o *observed) leaves(id string) (leaves bool) {
+	o.on(func() { leaves = o.targets[id].Leaving })
+	return leaves
+}
+
+// TestRemovalIsBelievedAtOnceByALaterWatch although an earlier one ended in an outage of the store.
+func TestRemovalIsBelievedAtOnceByALaterWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newObserved(t)
+		o.store.down.Store(true)
+		o.watch(t, time.Time{}, time.Second)
+		o.on(o.Stop)
+		o.store.down.Store(false)
+		time.Sleep(10 * time.Second)
+		o.watch(t, time.Time{}, 100*time.Millisecond)
+		assert.Assert(t, o.leaves("t1"))
+		assert.Assert(t, !o.leaves("t0"))
+	})
+}
+
+// TestEntriesMayComeBackAfterAnOutage that ended just before the watch.
+func TestEntriesMayComeBackAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newObserved(t)
+		o.watch(t, time.Now(), returnTime-100*time.Millisecond)
+		assert.Assert(t, !o.leaves("t1"))
+		time.Sleep(200 * time.Millisecond)
+		o.on(func() { o.Tick(time.Now()) })
+		assert.Assert(t, o.leaves("t1"))
+	})
+}
