Ignore an entry in a target's place whose service is not declared

Callers would have seen two targets serve a key (OWNER): an entry of another writer in the place of a target's own, with a later start and a service that nobody has declared, passed for the target's next life. The keys were released at the entry's address, where another process answered that it is not the target, and were given away while the target held them.

Cause: the start and the address were taken from an entry that names no target by the platform's rules. An entry without a field, or with an unknown state, was refused before; the service was not looked at.

An entry whose service differs from that of the target under its id counts as unreadable if the configuration does not have that service. Entries of new targets are kept as before, since the configuration may name their service later.

TestForgedEntryIsNoNextLife fails without the change and passes with it.

--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -463,6 +463,20 @@
 	})
 }
 
+// TestForgedEntryIsNoNextLife: another writer puts an entry in a target's place that names a service which is not declared.
+func TestForgedEntryIsNoNextLife(t *testing.T) {
+	run(t, seed.Value, 4, 5, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		time.Sleep(2 * time.Second)
+		w.put("servers/t2", fleet.Target{
+			Life: fleet.Life{ID: "t2", Born: time.Now().UnixMilli()}, Service: "undeclared", Address: "t3:1", FailureDomain: "a", Slots: 2,
+		})
+		time.Sleep(3 * time.Second)
+		w.returnTarget("t2")
+		w.servedWithin(4 * time.Second)
+	})
+}
+
 // TestBudgetOutlivesItsLeader: a new leader knows how many repeats the former one
 // had let run, so that a budget is not spent twice.
 func TestBudgetOutlivesItsLeader(t *testing.T) {
--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -232,6 +232,9 @@
 func (o *Observer) target(object store.Object) *fleet.Target {
 	now := time.Now()
 	t, err := o.config.Names.DecodeTarget(object, now)
+	if err == nil {
+		err = o.checkService(t)
+	}
 	if err != nil {
 		events.DeclarationInvalid.Log(o.config.Logger).Str("object", object.Name).Err(err).Send()
 		return nil
@@ -253,6 +256,16 @@
 	return t
 }
 
+// checkService refuses an entry in a target's place with a service that is not declared: it
+// is of another writer, and does not say that the target has started again.
+func (o *Observer) checkService(t *fleet.Target) error {
+	known := o.targets[t.ID]
+	if known == nil || known.Service == t.Service || o.current == nil || o.current.Service(t.Service) != nil {
+		return nil
+	}
+	return fault.New(fault.Invalid, "the entry is ignored; correct its writer", "target %q of service %q has service %q", t.ID, known.Service, t.Service)
+}
+
 // absent handles a missing entry.
 func (o *Observer) absent(id string) {
 	if o.targets[id] == nil || !o.goneAt[id].IsZero() {
