Give a first configuration the time of a whole list

300 VMs that start at once get the configuration over the leader's link together with the lists of targets; sending it again after 0.5 to 1 s would only hold these up.

--- a/internal/process/coordinator/delivery.go
+++ b/internal/process/coordinator/delivery.go
@@ -11,7 +11,8 @@
 	// that a VM does not report. With the way of a report, a lost change is sent again
 	// well within the 2 s after which a leaving target must get nothing any more.
 	lostAfter = 2
-	// listLostAfter is the same time for a whole list, which takes a narrow link longer.
+	// listLostAfter is the same time for a whole list or a first configuration, which take
+	// the link of a leader longer whose fleet starts at once.
 	listLostAfter = 2 * time.Second
 )
 
@@ -24,7 +25,7 @@
 	// since is when a version was sent that the VM has not reported, or when it last
 	// reported another one than before; zero if nothing is under way.
 	since time.Time
-	// whole is set if a whole list is under way.
+	// whole is set if more than a change is under way.
 	whole bool
 	// reported is the version in the VM's last report.
 	reported uint64
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -106,8 +106,8 @@
 func (c *Coordinator) addParts(state *peerv1.FleetState, m *member, now time.Time) {
 	p := c.lead.parts
 	if m.sent.Config < p.configVersion {
+		m.deliveries.config.begin(m.sent.Config == 0, now)
 		state.Config, m.sent.Config = p.config, p.configVersion
-		m.deliveries.config.begin(false, now)
 	}
 	m.waits = false
 	if p.targets.digest != 0 && m.sent.Targets != p.targets.digest {
