Refuse repeats again while the broker is late

A VM that refuses repeats while its broker is late keeps bursts of them from a broker that has just taken over. Cold targets and unknown owners stay with the late broker.

--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -144,10 +144,11 @@
 }
 
 // needs reports whether only the broker, which lives, can let a request run: one that
-// decides alone repeats nothing and sends to no cold target, and owners of keys reach
-// this VM up to a second after the broker.
+// decides alone sends to no cold target, and owners of keys reach this VM up to a second
+// after the broker. Repeats are refused then: brokers that take turns would let more of
+// them run than the budget has.
 func (d *Desk) needs(broker string, r *admission.Request) bool {
-	return d.config.Hears(broker) && (r.Repeat || !hasWarmTarget(d.config.View(), r, time.Now()))
+	return !r.Repeat && d.config.Hears(broker) && !hasWarmTarget(d.config.View(), r, time.Now())
 }
 
 // hasWarmTarget reports whether a view has a target for a request that is not cold.
