--- a/tests/soak/checks_test.go
+++ b/tests/soak/checks_test.go
@@ -31,6 +31,9 @@
 	coldBound = int(deployment.ColdRate*3/2 + 5)
 	// lostBound is the number of requests that a VM may lose beside planned work.
 	lostBound = 3
+	// checkedKeys, checkedStep apart, are served again by every VM after the faults.
+	checkedStep = 8 * deployment.KeyStep
+	checkedKeys = 65536/checkedStep + 1
 )
 
 const (
@@ -381,23 +384,26 @@
 func (r *run) checkRecovery() {
 	began := time.Now()
 	var all sync.WaitGroup
-	for _, vm := range r.d.VMs {
-		all.Go(func() { r.checkServes(vm, began.Add(recoverBound)) })
+	for i, vm := range r.d.VMs {
+		all.Go(func() { r.checkServes(vm, i, began.Add(recoverBound)) })
 	}
 	all.Wait()
 }
 
-func (r *run) checkServes(vm *deployment.VM, deadline time.Time) {
+// checkServes begins with another key for each VM, so that no key is hot.
+func (r *run) checkServes(vm *deployment.VM, first int, deadline time.Time) {
 	caller := vm.Caller()
 	defer caller.Close()
-	for key := 0; key < 65536; key += 8 * deployment.KeyStep {
+	pause := max(30*time.Millisecond, time.Duration(*vms)*time.Millisecond)
+	for i := range checkedKeys {
+		key := (first + i) % checkedKeys * checkedStep
 		for _, path := range []string{"/read/x", "/keyed/x"} {
 			for !r.send(caller, vm, path, key).Whole {
 				if time.Now().After(deadline) {
 					r.t.Errorf("%s does not serve %s with key %d again", vm.Name, path, key)
 					return
 				}
-				time.Sleep(30 * time.Millisecond)
+				time.Sleep(pause)
 			}
 		}
 	}
