Measure the window of repeats and the leader's silence by the steady clock

Callers would have been repeated beyond the budget (BUDGET), or sent by VMs that took a living leader for silent, after a jump of the time of day: the parts of the budget's window, and the leader's last word for readers outside the loop, were kept as nanoseconds since the epoch. Found by reading, not seen; the API of package time does not let a test step one clock alone. The existing tests of both pass.

--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -85,8 +85,8 @@
 	// Following: what is known of the leader.
 	startedAt time.Time
 	heardAt   time.Time
-	// heardNanos is heardAt for readers outside the loop.
-	heardNanos atomic.Int64
+	// heardLast is heardAt for readers outside the loop; nil if never.
+	heardLast atomic.Pointer[time.Time]
 	// repeats are the leader's counts when it was last heard.
 	repeats  []*peerv1.ServiceRepeats
 	reportAt time.Time
@@ -148,7 +148,8 @@
 // HearsLeader reports whether the leader has been heard lately. It may be
 // called from any goroutine.
 func (c *Coordinator) HearsLeader() bool {
-	return time.Since(time.Unix(0, c.heardNanos.Load())) < silentAfter
+	at := c.heardLast.Load()
+	return at != nil && time.Since(*at) < silentAfter
 }
 
 // tick does what depends on time.
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -114,7 +114,7 @@
 // heard notes a word of the leader.
 func (c *Coordinator) heard(now time.Time) {
 	c.heardAt = now
-	c.heardNanos.Store(now.UnixNano())
+	c.heardLast.Store(&now)
 }
 
 // takeParts takes in the parts that a state carries. What does not fit to what
--- a/internal/request/admission/repeats.go
+++ b/internal/request/admission/repeats.go
@@ -10,6 +10,9 @@
 // window, in parts.
 type repeats struct {
 	budget Budget
+	// origin is when the parts are numbered from, by the steady clock: the time of day
+	// may jump, which would empty the window.
+	origin time.Time
 	parts  [windowParts]part
 	at     int64
 }
@@ -26,9 +29,17 @@
 	return &repeats{budget: budget}
 }
 
+// number returns the number of the part that a time falls into.
+func (c *repeats) number(at time.Time) int64 {
+	return int64(at.Sub(c.origin) / (c.budget.Window / windowParts))
+}
+
 // advance empties the parts that have left the window.
 func (c *repeats) advance(now time.Time) *part {
-	at := now.UnixNano() / int64(c.budget.Window/windowParts)
+	if c.origin.IsZero() {
+		c.origin = now.Add(-c.budget.Window)
+	}
+	at := c.number(now)
 	for steps := min(at-c.at, windowParts); steps > 0; steps-- {
 		c.at = at - steps + 1
 		c.parts[c.at%windowParts] = part{}
@@ -60,7 +71,7 @@
 // requests had come then.
 func (c *repeats) adopt(count RepeatCount, at, now time.Time) {
 	own := c.sum(now)
-	index := at.UnixNano() / int64(c.budget.Window/windowParts)
+	index := c.number(at)
 	if index > c.at || c.at-index >= windowParts {
 		return
 	}
