--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -145,8 +145,7 @@
 
 // needs reports whether only the broker, which lives, can let a request run: one that
 // decides alone sends to no cold target, and owners of keys reach this VM up to a second
-// after the broker. Repeats are refused then: brokers that take turns would let more of
-// them run than the budget has.
+// after the broker. A repeat does not wait: it is refused where its broker is late.
 func (d *Desk) needs(broker string, r *admission.Request) bool {
 	return !r.Repeat && d.config.Hears(broker) && !hasWarmTarget(d.config.View(), r, time.Now())
 }
