Look only at a target's own grants before a release

A leader of 300 VMs compared each due release with all grants under way, at every tick; after all VMs were killed there are some hundred of the one and 1,600 of the other.

--- a/internal/process/coordinator/keeper.go
+++ b/internal/process/coordinator/keeper.go
@@ -65,9 +65,9 @@
 	grantedAt map[fleet.Life]time.Time
 	// granting counts the grants among them, by the life that they are for.
 	granting map[fleet.Life]int
-	// opening are the grants under way that may reach the next life under the target's
-	// name: those that do not go over the connection of a process that is known.
-	opening map[order]fleet.Slice
+	// opening are the grants under way, by the target's name, that may reach the next life
+	// under it: those that do not go over the connection of a process that is known.
+	opening map[string]map[order]fleet.Slice
 	// ordering are the slices with an order under way, by fence and target.
 	ordering map[order]bool
 	// retryAt is when an order that failed may be repeated.
@@ -121,7 +121,7 @@
 		successors: map[fleet.Life]fleet.Life{},
 		underWay:   map[fleet.Life]int{}, late: map[fleet.Life]bool{}, granting: map[fleet.Life]int{},
 		grantedAt: map[fleet.Life]time.Time{},
-		opening:   map[order]fleet.Slice{}, ordering: map[order]bool{}, retryAt: map[order]time.Time{},
+		opening:   map[string]map[order]fleet.Slice{}, ordering: map[order]bool{}, retryAt: map[order]time.Time{},
 		confirmedAt: map[sliceID]time.Time{}, readySince: map[sliceID]time.Time{},
 		sent: map[uint64]bool{}, awaits: map[uint64]time.Duration{},
 	}
@@ -323,7 +323,10 @@
 	if !t.release {
 		k.granting[t.target]++
 		if !t.again {
-			k.opening[t.order] = t.slice
+			if k.opening[t.target.ID] == nil {
+				k.opening[t.target.ID] = map[order]fleet.Slice{}
+			}
+			k.opening[t.target.ID][t.order] = t.slice
 		}
 	}
 	return append(tasks, t)
@@ -332,8 +335,8 @@
 // isOpening reports whether a grant of the keys of a release is under way that a later
 // life than the one that answers the release may take.
 func (k *keeper) isOpening(release task) bool {
-	for o, s := range k.opening {
-		if o.service == release.service && o.target.ID == release.target.ID && s.First <= release.slice.Last && release.slice.First <= s.Last {
+	for o, s := range k.opening[release.target.ID] {
+		if o.service == release.service && s.First <= release.slice.Last && release.slice.First <= s.Last {
 			return true
 		}
 	}
@@ -404,7 +407,7 @@
 	k.underWay[t.target]--
 	if !t.release {
 		k.granting[t.target]--
-		delete(k.opening, t.order)
+		delete(k.opening[t.target.ID], t.order)
 	}
 }
 
