Let a target that has closed its port finish its requests before its keys move

Callers had a key at work at two targets (OWNER): a target that left closed its port, the leader took that for its end, with the word of two witnesses, and gave its keys away while a request ran for 112 ms more.

A port that refuses connections now shows the end of a target only if no request is under way there by the broker's count; otherwise the next order asks again. Its grants bound the wait. The event says how many there were.

TestTargetThatClosesItsPortFinishesItsRequests failed before and passes.

--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -866,3 +866,17 @@
 		w.check(count == 1 && last == "n4", "%d leaders, %s after the return of a large VM", count, last)
 	})
 }
+
+// TestTargetThatClosesItsPortFinishesItsRequests before its keys go to another.
+func TestTargetThatClosesItsPortFinishesItsRequests(t *testing.T) {
+	run(t, seed.Value, 5, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		time.Sleep(time.Second)
+		w.set(func() { w.working = map[string]int{"t2": 1} })
+		w.endTarget("t2")
+		time.Sleep(time.Second)
+		w.check(w.held() < sampled, "keys were given away while their target was at work")
+		w.set(func() { w.working = nil })
+		w.servedWithin(time.Second)
+	})
+}
--- a/internal/process/coordinator/witness.go
+++ b/internal/process/coordinator/witness.go
@@ -94,7 +94,9 @@
 	}}})
 }
 
-// confirmEnd finds out whether a target whose port refuses connections has ended.
+// confirmEnd finds out whether a target whose port refuses connections has ended. One
+// that leaves closes its port before its last requests have ended: until then it counts
+// as working, and its keys wait, for no longer than its grants last.
 func (c *Coordinator) confirmEnd(life fleet.Life) {
 	l, target := c.lead, c.view.Targets[life.ID]
 	if target == nil || target.Life != life || l.confirming[life] {
@@ -103,6 +105,7 @@
 	l.confirming[life] = true
 	asked := time.Now()
 	w, address, domain := c.witnessesOf(target.FailureDomain, c.view, ""), target.Address, target.FailureDomain
+	service := target.Service
 	go func() {
 		ended := c.portClosed(address, w)
 		c.config.Loop.Post(func() {
@@ -110,9 +113,11 @@
 				return
 			}
 			delete(l.confirming, life)
+			observed, _ := c.config.Observe(service, life.ID)
 			events.TargetEndChecked.Log(c.config.Logger).Str("target", life.ID).Int64("born", life.Born).
-				Str("failure_domain", domain).Strs("near", w.near).Strs("far", w.far).Bool("self_near", w.selfNear).Bool("ended", ended).Send()
-			if ended {
+				Str("failure_domain", domain).Strs("near", w.near).Strs("far", w.far).Bool("self_near", w.selfNear).
+				Bool("ended", ended).Int("running", observed.Running).Send()
+			if ended && observed.Running == 0 {
 				l.keeper.ended(life, asked)
 				c.slicesChangedSoon()
 			}
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -39,6 +39,8 @@
 	memory  *store.Memory
 	nodes   map[string]*node
 	targets map[string]*fakeTarget
+	// working counts the requests under way by target.
+	working map[string]int
 	// cut holds pairs "from>to" without a path; "from>store" cuts from the store.
 	cut map[string]bool
 	// refused holds pairs whose connections are refused although both run.
@@ -219,8 +221,10 @@
 	n.view = view
 }
 
-func (n *node) observe(string, string) (admission.Observation, bool) {
-	return admission.Observation{Slowness: 1}, true
+func (n *node) observe(_, id string) (admission.Observation, bool) {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	return admission.Observation{Slowness: 1, Running: n.world.working[id]}, true
 }
 
 // repeats shows what the node's broker has let run.
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -290,6 +290,8 @@
 	Slowness float64
 	// FailureShare is the recent share of requests that the target refused or broke.
 	FailureShare float64
+	// Running is the number of requests under way at the target.
+	Running int
 }
 
 // Observe returns what was measured of a target; false if it is not known.
@@ -299,7 +301,7 @@
 		return Observation{}, false
 	}
 	t := p.targets[id]
-	return Observation{Slowness: t.slowness, FailureShare: t.failures}, true
+	return Observation{Slowness: t.slowness, FailureShare: t.failures, Running: t.running}, true
 }
 
 // Work returns the expected work in seconds of one request of a class.
