--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -30,6 +30,10 @@
 	// refenceAfter is how long a slice must have been ready before a refusal of its
 	// owner counts: requests that were sent earlier are still on their way.
 	refenceAfter = 500 * time.Millisecond
+	// confirmedReports is the number of report intervals for which a confirmation lets a
+	// fence be sent that replaces one: reports, which confirm a leader without the store,
+	// are as old.
+	confirmedReports = 2
 	// settle is how long a new leader waits for the declarations before it takes
 	// keys from targets that are not declared.
 	settle = 300 * time.Millisecond
@@ -71,7 +75,7 @@
 // of the store may be so late that another leader has moved keys away meanwhile.
 func (c *Coordinator) confirmedLately() time.Duration {
 	at := c.confirmedAt()
-	if c.config.Uptime()-at > 2*c.reportInterval() {
+	if c.config.Uptime()-at > confirmedReports*c.reportInterval() {
 		return 0
 	}
 	return at
