Rank owners with the standard library's heap

The ranking sifted by hand what container/heap does; it keeps the place of each owner in Swap. The order is total, so the plans stay the same.

--- a/internal/version/keyspace/plan.go
+++ b/internal/version/keyspace/plan.go
@@ -138,20 +138,20 @@
 
 // rank fills the rankings.
 func (p *plan) rank() {
-	p.hottest = ranking{
+	p.hottest = ranking{order{
 		place: func(s *share) *int { return &s.hottest },
 		before: func(a, b *share) bool {
 			ua, ub := a.utilisation(), b.utilisation()
 			return ua > ub || ua == ub && a.ID < b.ID
 		},
-	}
-	p.coldest = ranking{
+	}}
+	p.coldest = ranking{order{
 		place: func(s *share) *int { return &s.coldest },
 		before: func(a, b *share) bool {
 			ua, ub := a.utilisation(), b.utilisation()
 			return ua < ub || ua == ub && a.ID < b.ID
 		},
-	}
+	}}
 	for _, o := range p.owners {
 		p.coldest.add(o)
 		if len(o.movable) > 0 {
--- a/internal/version/keyspace/rank.go
+++ b/internal/version/keyspace/rank.go
@@ -1,39 +1,23 @@
 package keyspace
 
+import "container/heap"
+
 // ranking keeps owners in an order that changes with every move. The first of a
 // large number is found without looking at all of them.
-type ranking struct {
-	shares []*share
-	before func(a, b *share) bool
-	// place is where an owner notes its index in shares; -1 if it is not ranked.
-	place func(*share) *int
-}
+type ranking struct{ order }
 
 // add ranks an owner.
-func (r *ranking) add(s *share) {
-	*r.place(s) = len(r.shares)
-	r.shares = append(r.shares, s)
-	r.up(len(r.shares) - 1)
-}
+func (r *ranking) add(s *share) { heap.Push(&r.order, s) }
 
 // changed ranks an owner anew, if it is ranked.
 func (r *ranking) changed(s *share) {
 	if i := *r.place(s); i >= 0 {
-		r.up(i)
-		r.down(*r.place(s))
+		heap.Fix(&r.order, i)
 	}
 }
 
 // drop takes an owner out.
-func (r *ranking) drop(s *share) {
-	i, last := *r.place(s), len(r.shares)-1
-	r.swap(i, last)
-	r.shares = r.shares[:last]
-	*r.place(s) = -1
-	if i < last {
-		r.changed(r.shares[i])
-	}
-}
+func (r *ranking) drop(s *share) { heap.Remove(&r.order, *r.place(s)) }
 
 // first returns the first owner other than one, or nil.
 func (r *ranking) first(other *share) *share {
@@ -47,31 +31,33 @@
 	return found
 }
 
-func (r *ranking) up(i int) {
-	for i > 0 && r.before(r.shares[i], r.shares[(i-1)/2]) {
-		r.swap(i, (i-1)/2)
-		i = (i - 1) / 2
-	}
+// order implements heap.Interface.
+type order struct {
+	shares []*share
+	before func(a, b *share) bool
+	// place is where an owner notes its index in shares; -1 if it is not ranked.
+	place func(*share) *int
 }
 
-func (r *ranking) down(i int) {
-	for {
-		next := 2*i + 1
-		if next >= len(r.shares) {
-			return
-		}
-		if next+1 < len(r.shares) && r.before(r.shares[next+1], r.shares[next]) {
-			next++
-		}
-		if !r.before(r.shares[next], r.shares[i]) {
-			return
-		}
-		r.swap(i, next)
-		i = next
-	}
+func (o *order) Len() int { return len(o.shares) }
+
+func (o *order) Less(i, j int) bool { return o.before(o.shares[i], o.shares[j]) }
+
+func (o *order) Swap(i, j int) {
+	o.shares[i], o.shares[j] = o.shares[j], o.shares[i]
+	*o.place(o.shares[i]), *o.place(o.shares[j]) = i, j
+}
+
+func (o *order) Push(x any) {
+	s := x.(*share)
+	*o.place(s) = len(o.shares)
+	o.shares = append(o.shares, s)
 }
 
-func (r *ranking) swap(i, j int) {
-	r.shares[i], r.shares[j] = r.shares[j], r.shares[i]
-	*r.place(r.shares[i]), *r.place(r.shares[j]) = i, j
+func (o *order) Pop() any {
+	last := len(o.shares) - 1
+	s := o.shares[last]
+	o.shares = o.shares[:last]
+	*o.place(s) = -1
+	return s
 }
