--- a/internal/process/observer/observer_test.go
+++ b/internal/process/observer/observer_test.go
@@ -64,7 +64,7 @@
 
 // watch starts the observer with what other VMs know and lets it run for a time.
 func (o *observed) watch(t *testing.T, storeFailedAt time.Time, during time.Duration) {
-	o.on(func() {
+	o.config.Loop.Call(func() {
 		targets := map[string]*fleet.Target{}
 		for _, id := range []string{"t0", "t1"} {
 			targets[id] = &fleet.Target{Life: fleet.Life{ID: id, Born: 1}}
@@ -73,19 +73,12 @@
 		o.Start(t.Context(), storeFailedAt)
 	})
 	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		o.on(func() { o.Tick(time.Now()) })
+		o.config.Loop.Call(func() { o.Tick(time.Now()) })
 	}
 }
 
-// on runs a function on the loop.
-func (o *observed) on(f func()) {
-	done := make(chan struct{})
-	o.config.Loop.Post(func() { f(); close(done) })
-	<-done
-}
-
 func (o *observed) leaves(id string) (leaves bool) {
-	o.on(func() { leaves = o.targets[id].Leaving })
+	o.config.Loop.Call(func() { leaves = o.targets[id].Leaving })
 	return leaves
 }
 
@@ -95,7 +88,7 @@
 		o := newObserved(t)
 		o.store.down.Store(true)
 		o.watch(t, time.Time{}, time.Second)
-		o.on(o.Stop)
+		o.config.Loop.Call(o.Stop)
 		o.store.down.Store(false)
 		time.Sleep(10 * time.Second)
 		o.watch(t, time.Time{}, 100*time.Millisecond)
@@ -111,7 +104,7 @@
 		o.watch(t, time.Now(), returnTime-100*time.Millisecond)
 		assert.Assert(t, !o.leaves("t1"))
 		time.Sleep(200 * time.Millisecond)
-		o.on(func() { o.Tick(time.Now()) })
+		o.config.Loop.Call(func() { o.Tick(time.Now()) })
 		assert.Assert(t, o.leaves("t1"))
 	})
 }
