Say once how worlds divide VMs and cut the path between two

Two tests divided the VMs around the leader with the same loop, and eight places cut both directions one after the other. The cuts and their order are the same.

--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -414,8 +414,7 @@
 			time.Sleep(2*time.Second + time.Duration(i)*90*time.Millisecond)
 			leader, _ := w.leader()
 			for _, other := range everybody(4, 0) {
-				w.cutFor(5*time.Second, leader+">"+other)
-				w.cutFor(5*time.Second, other+">"+leader)
+				w.cutBetween(5*time.Second, leader, other)
 			}
 			w.cutFor(5*time.Second, leader+">store")
 			for began := time.Now(); !w.noted("a higher fence was seen"); time.Sleep(5 * time.Millisecond) {
@@ -474,21 +473,11 @@
 		w.servedWithin(2 * time.Second)
 		time.Sleep(2 * time.Second)
 		leader, _ := w.leader()
-		inside, outside := []string{leader}, []string{}
-		for _, name := range everybody(4, 0) {
-			switch {
-			case name == leader:
-			case len(inside) < 2:
-				inside = append(inside, name)
-			default:
-				outside = append(outside, name)
-			}
-		}
+		inside, outside := divide(everybody(4, 0), leader, 2)
 		for _, name := range inside {
 			w.cutFor(20*time.Second, name+">store")
 			for _, other := range outside {
-				w.cutFor(20*time.Second, name+">"+other)
-				w.cutFor(20*time.Second, other+">"+name)
+				w.cutBetween(20*time.Second, name, other)
 				w.cutFor(20*time.Second, other+">t2")
 			}
 		}
@@ -515,8 +504,7 @@
 				continue
 			}
 			w.cutFor(25*time.Second, name+">store")
-			w.cutFor(25*time.Second, name+">"+alone)
-			w.cutFor(25*time.Second, alone+">"+name)
+			w.cutBetween(25*time.Second, name, alone)
 		}
 		w.cutFor(25*time.Second, alone+">t2")
 		time.Sleep(8 * time.Second)
@@ -721,6 +709,27 @@
 	time.AfterFunc(duration, func() { w.set(func() { delete(w.cut, pair) }) })
 }
 
+// divide returns a group of some size with one VM in it, and the other VMs.
+func divide(all []string, with string, size int) (group, others []string) {
+	group = []string{with}
+	for _, name := range all {
+		switch {
+		case name == with:
+		case len(group) < size:
+			group = append(group, name)
+		default:
+			others = append(others, name)
+		}
+	}
+	return group, others
+}
+
+// cutBetween cuts the path between two for a time, in both directions.
+func (w *world) cutBetween(duration time.Duration, a, b string) {
+	w.cutFor(duration, a+">"+b)
+	w.cutFor(duration, b+">"+a)
+}
+
 func (w *world) restartNode(name string) {
 	w.mu.Lock()
 	running := w.nodes[name] != nil
--- a/internal/process/coordinator/former_test.go
+++ b/internal/process/coordinator/former_test.go
@@ -19,8 +19,7 @@
 				former, _ := w.leader()
 				w.cutFor(20*time.Second, former+">store")
 				for _, name := range everybody(5, 0) {
-					w.cutFor(20*time.Second, former+">"+name)
-					w.cutFor(20*time.Second, name+">"+former)
+					w.cutBetween(20*time.Second, former, name)
 				}
 				time.Sleep(500 * time.Millisecond)
 				w.leaveTarget("t2")
@@ -109,8 +108,7 @@
 				time.Sleep(8 * time.Second)
 				for _, name := range others {
 					if name != second {
-						w.cutFor(0, first+">"+name)
-						w.cutFor(0, name+">"+first)
+						w.cutBetween(0, first, name)
 					}
 				}
 				time.Sleep(6 * time.Second)
@@ -146,8 +144,7 @@
 				w.loseConnections("t2")
 				for _, name := range everybody(5, 0) {
 					if name != first {
-						w.cutFor(20*time.Second, first+">"+name)
-						w.cutFor(20*time.Second, name+">"+first)
+						w.cutBetween(20*time.Second, first, name)
 					}
 				}
 				w.awaitLeaderBesides(first, 4*time.Second)
@@ -211,21 +208,11 @@
 				w.servedWithin(2 * time.Second)
 				time.Sleep(3*time.Second + time.Duration(i)*90*time.Millisecond)
 				first, _ := w.leader()
-				inside, outside := []string{first}, []string{}
-				for _, name := range everybody(5, 0) {
-					switch {
-					case name == first:
-					case len(inside) < 3:
-						inside = append(inside, name)
-					default:
-						outside = append(outside, name)
-					}
-				}
+				inside, outside := divide(everybody(5, 0), first, 3)
 				for _, name := range inside {
 					w.cutFor(20*time.Second, name+">store")
 					for _, other := range outside {
-						w.cutFor(20*time.Second, name+">"+other)
-						w.cutFor(20*time.Second, other+">"+name)
+						w.cutBetween(20*time.Second, name, other)
 					}
 				}
 				for began := time.Now(); !w.noted("a higher fence was seen"); time.Sleep(5 * time.Millisecond) {
@@ -259,8 +246,7 @@
 				continue
 			}
 			w.cutFor(25*time.Second, name+">store")
-			w.cutFor(25*time.Second, name+">"+alone)
-			w.cutFor(25*time.Second, alone+">"+name)
+			w.cutBetween(25*time.Second, name, alone)
 			for _, id := range everybody(0, 6) {
 				if domainOf(id) == domainOf(alone) {
 					w.cutFor(25*time.Second, name+">"+id)
