--- a/internal/connection/target/control_test.go
+++ b/internal/connection/target/control_test.go
@@ -15,6 +15,7 @@
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
 	"github.com/chestnutcourse/chestnutcourse/internal/testutil/faketarget"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/rawserver"
 )
 
 var _ target.Controller = (*target.ControlClient)(nil)
@@ -79,7 +80,7 @@
 // while this one still accepts requests of them.
 func TestEarlierAnswerIsNoRevocation(t *testing.T) {
 	var revoked atomic.Bool
-	address := listenRaw(t, func(socket *net.TCPConn) {
+	address := rawserver.Listen(t, func(socket *net.TCPConn) {
 		in := bufio.NewReader(socket)
 		for earlier := ""; ; {
 			request, err := http.ReadRequest(in)
--- a/internal/connection/target/glued_test.go
+++ b/internal/connection/target/glued_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/rawserver"
 )
 
 // TestCutHeadBeforeTheAnswerIsNoPartOfIt, at whichever byte the head of the other
@@ -28,7 +29,7 @@
 			form.Probe, form.DialTimeout = false, testTimeout
 			t.Run(fmt.Sprint(name, form.SkipStray), func(t *testing.T) {
 				for n := range len(cut) {
-					pool := target.NewPoolOf(listenRaw(t, func(socket *net.TCPConn) {
+					pool := target.NewPoolOf(rawserver.Listen(t, func(socket *net.TCPConn) {
 						id, _ := readRequest(bufio.NewReader(socket))
 						_, _ = io.WriteString(socket, cut[:n]+whole(id))
 					}), 1, form)
--- a/internal/connection/target/hostile_test.go
+++ b/internal/connection/target/hostile_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/rawserver"
 )
 
 // maxAllocated bounds the memory that an answer without end may cost, in bytes.
@@ -27,30 +28,8 @@
 	RequestIDHeader: target.HeaderRequestID, Unframed: true, SkipStray: true, DialTimeout: testTimeout, MaxIdle: testTimeout,
 }
 
-// listenRaw serves each connection with a function that writes what it likes. It
-// returns the address.
-func listenRaw(t *testing.T, serve func(*net.TCPConn)) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			socket, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer socket.Close()
-				serve(socket.(*net.TCPConn))
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 func strayPool(t *testing.T, serve func(*net.TCPConn)) *target.Pool {
-	pool := target.NewPoolOf(listenRaw(t, serve), 4, strayForm)
+	pool := target.NewPoolOf(rawserver.Listen(t, serve), 4, strayForm)
 	t.Cleanup(pool.Close)
 	return pool
 }
@@ -191,7 +170,7 @@
 			requests := make(chan string, 4)
 			form := target.OwnForm
 			form.DialTimeout = testTimeout
-			pool := target.NewPoolOf(listenRaw(t, func(socket *net.TCPConn) {
+			pool := target.NewPoolOf(rawserver.Listen(t, func(socket *net.TCPConn) {
 				in := bufio.NewReader(socket)
 				if _, err := readRequest(in); err != nil {
 					return
--- a/internal/connection/target/idle_test.go
+++ b/internal/connection/target/idle_test.go
@@ -12,13 +12,14 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/rawserver"
 )
 
 // forgetful serves connections and resets one that was idle for longer than a
 // limit, only once the next request arrives on it. It returns its address.
 func forgetful(t *testing.T, limit time.Duration) string {
 	t.Helper()
-	return listenRaw(t, func(socket *net.TCPConn) { serveForgetful(socket, limit) })
+	return rawserver.Listen(t, func(socket *net.TCPConn) { serveForgetful(socket, limit) })
 }
 
 func serveForgetful(socket *net.TCPConn, limit time.Duration) {
--- a/internal/request/dispatch/stray_test.go
+++ b/internal/request/dispatch/stray_test.go
@@ -14,6 +14,7 @@
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/outcome"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/rawserver"
 )
 
 // rawAnswer is an answer to a request without a body.
@@ -25,41 +26,29 @@
 // TestRefusalWrittenAgainIsNotThatOfTheRepeat: entries send a request that was
 // refused again under its id.
 func TestRefusalWrittenAgainIsNotThatOfTheRepeat(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
 	var refused, runs atomic.Int64
-	go func() {
-		for {
-			socket, err := listener.Accept()
+	address := rawserver.Listen(t, func(socket *net.TCPConn) {
+		in := bufio.NewReader(socket)
+		for earlier := ""; ; {
+			request, err := http.ReadRequest(in)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer socket.Close()
-				in := bufio.NewReader(socket)
-				for earlier := ""; ; {
-					request, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					id := request.Header.Get(target.HeaderRequestID)
-					switch {
-					case id == "":
-						_, _ = io.WriteString(socket, rawAnswer("200 OK", "", ""))
-					case refused.Add(1) == 1:
-						earlier = rawAnswer("503 Service Unavailable", id, target.HeaderNotRun+": shed\r\n")
-						_, _ = io.WriteString(socket, earlier)
-					default:
-						runs.Add(1)
-						_, _ = io.WriteString(socket, earlier+rawAnswer("200 OK", id, ""))
-					}
-				}
-			}()
+			_, _ = io.Copy(io.Discard, request.Body)
+			id := request.Header.Get(target.HeaderRequestID)
+			switch {
+			case id == "":
+				_, _ = io.WriteString(socket, rawAnswer("200 OK", "", ""))
+			case refused.Add(1) == 1:
+				earlier = rawAnswer("503 Service Unavailable", id, target.HeaderNotRun+": shed\r\n")
+				_, _ = io.WriteString(socket, earlier)
+			default:
+				runs.Add(1)
+				_, _ = io.WriteString(socket, earlier+rawAnswer("200 OK", id, ""))
+			}
 		}
-	}()
-	f := newFixture(t, listener.Addr().String(), nil)
+	})
+	f := newFixture(t, address, nil)
 	request := f.request(nil)
 	assert.Equal(t, f.serve(request).kind(), outcome.NotRun)
 	again := f.serve(f.request(func(r *peerv1.Request) { r.RequestId = request.RequestId }))
--- a/internal/request/forward/hostile_test.go
+++ b/internal/request/forward/hostile_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/testutil/fencetarget"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/rawserver"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
@@ -40,27 +41,15 @@
 
 func (f *fixture) addRaw(t *testing.T, id string, played bytesPlayed) *rawTarget {
 	raw := &rawTarget{played: played}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			socket, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go raw.serve(socket.(*net.TCPConn), id)
-		}
-	}()
+	address := rawserver.Listen(t, func(socket *net.TCPConn) { raw.serve(socket, id) })
 	f.targets = append(f.targets, fencetarget.New(fencetarget.Settings{ID: id}))
 	f.view.Targets[id] = &fleet.Target{
-		Life: fleet.Life{ID: id, Born: 1}, Service: "s", Address: listener.Addr().String(), FailureDomain: "a", Slots: 2,
+		Life: fleet.Life{ID: id, Born: 1}, Service: "s", Address: address, FailureDomain: "a", Slots: 2,
 	}
 	return raw
 }
 
 func (r *rawTarget) serve(socket *net.TCPConn, id string) {
-	defer socket.Close()
 	in := bufio.NewReader(socket)
 	for {
 		request, err := http.ReadRequest(in)
