Treat downloads as repeatable

Cause: requestKind did not know the kind "download", so its requests counted as at most once: after a reset, a cut or a refusal without proof the caller got 502 although the platform's pages let such requests run again. Ruled out: a flag of its own on the route; retry rule and budget depend on the kind alone, so RequestKind.Repeatable answers for both. Change: fleet.Download, read from the configuration. An unknown kind stays at most once.

--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -61,7 +61,7 @@
 	if x.body.streamed() {
 		go x.body.readAhead()
 	}
-	idempotent := x.route.Kind == fleet.Idempotent
+	repeatable := x.route.Kind.Repeatable()
 	repeat := false
 	for tries := 0; ; tries++ {
 		permit, err := x.handler.config.Permits.Acquire(x.ctx, x.permitRequest(repeat))
@@ -71,7 +71,7 @@
 		}
 		if permit.Refused != "" {
 			// 503 is safe here: either each target reached before has stated that the
-			// request did not run, or the request is idempotent.
+			// request did not run, or the request is repeatable.
 			x.refuse(string(permit.Refused), permit.RetryAfter)
 			return
 		}
@@ -87,7 +87,7 @@
 		}
 		repeat = repeat || o.arrived
 		x.logAttempt(permit, o)
-		if o.mayHaveRun && !idempotent {
+		if o.mayHaveRun && !repeatable {
 			x.respondMayHaveRun(o)
 			return
 		}
@@ -171,7 +171,7 @@
 // that the attempt then counts as.
 func (x *exchange) checkResponse(got *target.Answer) (admission.Result, error) {
 	switch {
-	case x.route.Kind != fleet.Idempotent && promisesNotRun(got.Status):
+	case !x.route.Kind.Repeatable() && promisesNotRun(got.Status):
 		return admission.Failed, errUnstatedRefusal
 	case got.Status/100 == 2 && !x.handler.config.Dialect.Signed(got.Header):
 		return admission.Broken, errUnsigned
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -25,6 +25,7 @@
 	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/forward"
 	"github.com/chestnutcourse/chestnutcourse/internal/testutil/fencetarget"
+	"github.com/chestnutcourse/chestnutcourse/internal/testutil/rawserver"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 	"github.com/chestnutcourse/chestnutcourse/platform"
 )
@@ -110,7 +111,7 @@
 		Version: 1, Limits: fleet.Limits{BodyBytes: 1 << 20, HeaderBytes: 8 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second},
 		Services: []fleet.Service{{Name: "s"}},
 	}
-	for prefix, kind := range map[string]fleet.RequestKind{"/safe/": fleet.Idempotent, "/once/": fleet.AtMostOnce, "/upload/": fleet.Upload} {
+	for prefix, kind := range map[string]fleet.RequestKind{"/safe/": fleet.Idempotent, "/once/": fleet.AtMostOnce, "/upload/": fleet.Upload, "/download/": fleet.Download} {
 		f.view.Config.Routes = append(f.view.Config.Routes, fleet.Route{
 			Name: prefix, Host: "h.example", Prefix: prefix, Kind: kind, Aim: 200 * time.Millisecond, Timeout: time.Second,
 			MaxAttempts: 2, Shares: []fleet.Share{{Service: "s", Weight: 1}},
@@ -247,6 +248,14 @@
 		{"unframed-reset", "/once/", 502, "", 1},
 		{"silent", "/once/", 504, "", 1},
 		{"fail", "/once/", 500, "", 1},
+		{"refuse", "/download/", 200, "t1", 1},
+		{"gone", "/download/", 200, "t1", 1},
+		{"reset", "/download/", 200, "t1", 2},
+		{"short", "/download/", 200, "t1", 2},
+		{"head", "/download/", 200, "t1", 2},
+		{"unframed-reset", "/download/", 200, "t1", 2},
+		{"refusal-only", "/download/", 200, "t1", 2},
+		{"unstated", "/download/", 503, "", 1},
 	} {
 		t.Run(c.fault+c.path, func(t *testing.T) {
 			t.Parallel()
@@ -474,6 +483,74 @@
 	assert.Equal(t, answer.body, string(content))
 }
 
+// TestDownloadThatBreaksOffIsNoSuccess cuts a download at its second half. If nothing has
+// been passed on by then, another target is asked; afterwards the caller must see a broken
+// transfer, and the request is not repeated.
+func TestDownloadThatBreaksOffIsNoSuccess(t *testing.T) {
+	for name, c := range map[string]struct {
+		size  int
+		whole bool
+	}{"held back": {100_000, true}, "passed on": {1_000_000, false}} {
+		for _, framing := range []string{"length", "chunked", "end of connection"} {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				f := startFixture(t)
+				content := bytes.Repeat([]byte("0123456789"), c.size/10)
+				var runs atomic.Int64
+				for i := range 2 {
+					address := rawserver.Listen(t, func(socket *net.TCPConn) {
+						request, err := http.ReadRequest(bufio.NewReader(socket))
+						if err != nil {
+							return
+						}
+						first := runs.Add(1) == 1
+						writeDownload(socket, request.Header.Get("Attempt-Id"), framing, content, first)
+					})
+					id := fmt.Sprintf("t%d", i)
+					f.targets = append(f.targets, fencetarget.New(fencetarget.Settings{ID: id}))
+					f.view.Targets[id] = &fleet.Target{Life: fleet.Life{ID: id, Born: 1}, Service: "s", Address: address, Slots: 1}
+				}
+				answer := f.send(t, "GET", "/download/", "a1", "")
+				if c.whole {
+					assert.NilError(t, answer.err)
+					assert.Equal(t, answer.body, string(content))
+					assert.Equal(t, runs.Load(), int64(2))
+					return
+				}
+				assert.Assert(t, answer.err != nil, "status %d and %d bytes look complete", answer.status, len(answer.body))
+				assert.Equal(t, runs.Load(), int64(1))
+			})
+		}
+	}
+}
+
+// writeDownload writes a response with the framing. If cut is set, it resets the
+// connection after half of the content.
+func writeDownload(socket *net.TCPConn, attempt, framing string, content []byte, cut bool) {
+	head := "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nServer-Seal: " + fencetarget.Seal(attempt) + "\r\n"
+	body, end := content, ""
+	if cut {
+		body = content[:len(content)/2]
+	}
+	switch framing {
+	case "length":
+		head += fmt.Sprintf("Content-Length: %d\r\n\r\n", len(content))
+	case "chunked":
+		head += fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", len(body))
+		end = "\r\n0\r\n\r\n"
+	default:
+		head += "Connection: close\r\n\r\n"
+	}
+	_, _ = io.WriteString(socket, head)
+	_, _ = socket.Write(body)
+	if cut {
+		// Lets the router read what was sent: a reset discards it.
+		time.Sleep(50 * time.Millisecond)
+		_ = socket.SetLinger(0)
+		return
+	}
+	_, _ = io.WriteString(socket, end)
+}
+
 // TestLeavingWithABodyIsNoticed checks that a caller that leaves while its request
 // waits for a permit is noticed at once, whether it has sent all of the body, a part
 // or nothing. Without reading ahead it is noticed only when the body is needed.
--- a/internal/version/fleet/config.go
+++ b/internal/version/fleet/config.go
@@ -22,8 +22,14 @@
 	AtMostOnce RequestKind = "at-most-once"
 	// Upload is an AtMostOnce request with a large body.
 	Upload RequestKind = "upload"
+	// Download is an Idempotent request with a large response.
+	Download RequestKind = "download"
 )
 
+// Repeatable reports whether requests of the kind may run more than once. Unknown
+// kinds may not.
+func (k RequestKind) Repeatable() bool { return k == Idempotent || k == Download }
+
 // Config is one version of the configuration.
 type Config struct {
 	// Version rises with each configuration; a VM never goes back to a lower one.
