Let an odd entry of the store cost only itself

Cause: encoding/json refuses a document in which one value is nested deeper than 10,000, so one such entry among those of the targets failed every list and watch: no VM followed the targets any more. A response above 8 MiB was cut, with the same effect. An address was only asked not to be empty; ports out of range, 0 or names, slots beyond 32 bits, starts in the far future (no later process of that target would have been believed) and endless warm-ups went on to the fleet, where some are stored in fewer bits. An entry of a known target that could not be used counted as a removal in a list and as nothing in a watch. Ruled out: a higher limit on the response (memory of small VMs); json.Decoder (the same limit of depth); leaving out a page (its good entries would be lost). In a list, an unusable entry of a known target leaves it as it is, as in a watch.

--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -225,9 +226,10 @@
 func (o *Observer) targetsListed(objects []store.Object) {
 	present := map[string]bool{}
 	for _, object := range objects {
-		if t := o.applyTarget(object); t != nil {
-			present[t.ID] = true
-		}
+		// An entry that is invalid or older says nothing new about the target, but it has
+		// not been removed either.
+		present[o.targetID(object)] = true
+		o.applyTarget(object)
 	}
 	for id := range o.targets {
 		if !present[id] {
@@ -239,16 +241,20 @@
 func (o *Observer) targetsChanged(objects []store.Object) {
 	for _, object := range objects {
 		if object.Deleted {
-			o.handleMissing(object.Name[len(o.config.Names.Targets):])
+			o.handleMissing(o.targetID(object))
 			continue
 		}
 		o.applyTarget(object)
 	}
 }
 
-// applyTarget applies one entry and returns its target; nil if the entry is invalid
-// or older than what is known.
-func (o *Observer) applyTarget(object store.Object) *fleet.Target {
+// targetID returns the ID of the target that an entry is about.
+func (o *Observer) targetID(object store.Object) string {
+	return strings.TrimPrefix(object.Name, o.config.Names.Targets)
+}
+
+// applyTarget applies one entry unless it is invalid or older than what is known.
+func (o *Observer) applyTarget(object store.Object) {
 	now := time.Now()
 	t, err := o.config.Names.DecodeTarget(object, now)
 	if err == nil {
@@ -256,11 +262,11 @@
 	}
 	if err != nil {
 		events.DeclarationInvalid.Log(o.config.Logger).Str("object", object.Name).Err(err).Send()
-		return nil
+		return
 	}
 	known := o.targets[t.ID]
 	if known != nil && known.Born > t.Born {
-		return nil
+		return
 	}
 	if known == nil || known.Life != t.Life || known.Leaving != t.Leaving {
 		events.TargetObserved.Log(o.config.Logger).Str("target", t.ID).Int64("born", t.Born).Str("service", t.Service).
@@ -272,7 +278,6 @@
 	delete(o.missing, t.ID)
 	delete(o.removedAt, t.ID)
 	o.targets[t.ID] = t
-	return t
 }
 
 // checkService rejects an entry under a known target's ID that names another service
--- a/internal/process/observer/observer_test.go
+++ b/internal/process/observer/observer_test.go
@@ -22,6 +22,8 @@
 	down atomic.Bool
 }
 
+var errOdd = fault.New(fault.Invalid, "correct the entry", "the entry cannot be used")
+
 var errDown = fault.New(fault.Unavailable, "try again", "the store is down")
 
 func (s *unreliableStore) List(ctx context.Context, prefix string) ([]store.Object, int64, error) {
@@ -53,6 +55,9 @@
 		Names: Names{
 			Config: "config/", Targets: "targets/", Evacuations: "evacuations/",
 			DecodeTarget: func(object store.Object, _ time.Time) (*fleet.Target, error) {
+				if string(object.Value) == "odd" {
+					return nil, errOdd
+				}
 				return &fleet.Target{Life: fleet.Life{ID: string(object.Value), Born: 1}}, nil
 			},
 		},
@@ -100,6 +105,40 @@
 	})
 }
 
+// TestUnusableEntryOfAKnownTargetIsNoRemoval checks that a target stays as it is known if
+// its entry cannot be used, whether that is seen in a list or in a watch, until the entry is
+// removed.
+func TestUnusableEntryOfAKnownTargetIsNoRemoval(t *testing.T) {
+	for name, watched := range map[string]bool{"listed": false, "watched": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newFixture(t)
+				put := func(value string) {
+					present, err := o.store.Get(t.Context(), "targets/t0")
+					assert.NilError(t, err)
+					_, err = o.store.Put(t.Context(), "targets/t0", []byte(value), present.Version)
+					assert.NilError(t, err)
+				}
+				o.watch(t, time.Time{}, time.Second)
+				if !watched {
+					o.config.Loop.Call(o.Stop)
+				}
+				put("odd")
+				if !watched {
+					o.watch(t, time.Time{}, time.Second)
+				}
+				time.Sleep(time.Second)
+				assert.Assert(t, !o.isLeaving("t0"))
+				present, err := o.store.Get(t.Context(), "targets/t0")
+				assert.NilError(t, err)
+				assert.NilError(t, o.store.Delete(t.Context(), "targets/t0", present.Version))
+				time.Sleep(time.Second)
+				assert.Assert(t, o.isLeaving("t0"))
+			})
+		})
+	}
+}
+
 // TestEntriesMayComeBackAfterAnOutage checks that a missing entry gets time to reappear
 // after an outage that ended just before the watch began.
 func TestEntriesMayComeBackAfterAnOutage(t *testing.T) {
--- a/internal/testutil/platformstub/platformstub.go
+++ b/internal/testutil/platformstub/platformstub.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"sort"
@@ -50,8 +51,18 @@
 type event struct {
 	kind    string
 	rev     int64
-	Object  Object `json:"object"`
-	Deleted bool   `json:"deleted"`
+	Object  Object
+	Deleted bool
+}
+
+// text returns the object as JSON. encoding/json refuses values that are nested deeper
+// than 10,000, which the store takes.
+func (o Object) text() string {
+	status := string(o.Status)
+	if status == "" {
+		status = "null"
+	}
+	return fmt.Sprintf(`{"metadata":%s,"spec":%s,"status":%s}`, encode(o.Metadata), o.Spec, status)
 }
 
 // Stub is the stand-in; it is an http.Handler.
@@ -236,11 +247,11 @@
 	if more {
 		names = names[:s.PageSize]
 	}
-	items := []Object{}
+	items := []string{}
 	for _, name := range names {
-		items = append(items, s.objects[kind][name])
+		items = append(items, s.objects[kind][name].text())
 	}
-	answer(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "at": s.revision})
+	answerPage(w, "items", items, fmt.Sprintf(`"hasMore":%t,"at":%d`, more, s.revision))
 }
 
 // watch answers as soon as there is an event, or once the time is over.
@@ -260,7 +271,11 @@
 			return
 		}
 		if len(found) > 0 || over {
-			answer(w, http.StatusOK, map[string]any{"events": found, "at": at})
+			texts := []string{}
+			for _, e := range found {
+				texts = append(texts, fmt.Sprintf(`{"object":%s,"deleted":%t}`, e.Object.text(), e.Deleted))
+			}
+			answerPage(w, "events", texts, fmt.Sprintf(`"at":%d`, at))
 			return
 		}
 		select {
@@ -344,3 +359,9 @@
 	// A caller that has left needs no answer.
 	_ = json.NewEncoder(w).Encode(body)
 }
+
+func answerPage(w http.ResponseWriter, field string, items []string, rest string) {
+	w.Header().Set("Content-Type", "application/json")
+	// A caller that has left needs no answer.
+	_, _ = fmt.Fprintf(w, `{"%s":[%s],%s}`, field, strings.Join(items, ","), rest)
+}
--- a/tests/platform/platform_test.go
+++ b/tests/platform/platform_test.go
@@ -5,11 +5,13 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -340,6 +342,45 @@
 	assert.Equal(t, len(failures(load.end())), 0)
 }
 
+// TestOddEntriesChangeNothing: entries of another writer among those of the servers end no
+// process and name no server; callers are served, and the servers that come after them are
+// used, also after the leader has changed, so that the next one lists them anew.
+func TestOddEntriesChangeNothing(t *testing.T) {
+	d := start(t, 3)
+	former := d.Leader()
+	others := slices.DeleteFunc(slices.Clone(d.VMs), func(vm *deployment.VM) bool { return vm == former })
+	load := send(t, others, "/once/x", 20*time.Millisecond)
+	deep := json.RawMessage(strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000))
+	entry := func(address string, slots any) map[string]any {
+		return map[string]any{"address": address, "born": 1, "info": map[string]any{"service": "free", "zone": "a", "maxConcurrency": slots}}
+	}
+	inService := map[string]any{"state": "in_service", "sequence": 1, "warmupLeft": "0ms"}
+	d.Store.Set("servers", "a-deep", deep, inService)
+	d.Store.Set("servers", "b-deep-status", entry("127.0.0.1:9", 2), deep)
+	d.Store.Set("servers", "c-port", entry("127.0.0.1:99999", 2), inService)
+	d.Store.Set("servers", "d-port", entry("127.0.0.1:0", 2), inService)
+	d.Store.Set("servers", "e-slots", entry("127.0.0.1:9", json.RawMessage("1e999")), inService)
+	d.Store.Set("servers", "f-slots", entry("127.0.0.1:9", int64(1)<<40), inService)
+	d.Store.Set("servers", "g-born", json.RawMessage(`{"address":"127.0.0.1:9","born":9223372036854775807,"info":{"service":"free","zone":"a","maxConcurrency":2}}`), inService)
+	d.Store.Set("servers", "h-large", json.RawMessage(`"`+strings.Repeat("x", 1<<20)+`"`), inService)
+	time.Sleep(time.Second)
+	assert.Equal(t, former.Ended(), "")
+	former.Kill()
+	former.Start()
+	added := d.AddTarget("free-after", "free", fencetarget.Settings{Work: 20 * time.Millisecond})
+	d.WaitReady(startBound)
+	for i := range 3 {
+		d.Register(fmt.Sprintf("free-%d", i), "draining")
+	}
+	time.Sleep(2 * drainBound)
+	assert.Assert(t, len(added.Runs()) > 0, "a server that came after the odd entries is not used")
+	results := load.end()
+	assert.Equal(t, len(failures(results)), 0, "of %d: %v", len(results), failures(results))
+	for _, vm := range d.VMs {
+		assert.Equal(t, vm.Ended(), "", vm.Name)
+	}
+}
+
 // TestAddressUsedAgain: a server of another service takes over the address of
 // one that is gone; no request is run by the wrong one.
 func TestAddressUsedAgain(t *testing.T) {
