Refuse what a stopping VM reads too late to answer

Cause: a connection on which a request was always pending or being read, as with callers that pipeline without a pause or send heads in parts, stayed open until the end of the grace. What it brought in the last seconds was passed on and then cut without an answer, also requests that must not be repeated. Ruled out: closing such connections at the start of the shutdown (requests that have been read and not passed on would have no answer); a longer margin (the requests keep coming). Change: requests read later than 3 s after SIGTERM (half of a shorter stop) are refused as not run by an answer that closes the connection; what was sent behind is not read. The decision is made where heads are read, so nothing that was passed on is behind a refusal. Requests that begin during a stop, and their targets, have until its end at most; what is in flight 0.2 s before the end of the stop is answered: 503 if it was not sent, 504 otherwise. Test in the caller's server: TestShutdownEndsUnderPipelining.

--- a/internal/connection/caller/caller_test.go
+++ b/internal/connection/caller/caller_test.go
@@ -324,6 +324,64 @@
 	assert.Assert(t, time.Since(began) < 2*wait+time.Second, "the shutdown took %s", time.Since(began))
 }
 
+// TestShutdownEndsUnderPipelining checks that a shutdown ends although callers send on
+// without a pause: what was read before RefuseNew is answered, the next request is refused
+// with an answer that closes the connection, and nothing behind it reaches a handler.
+func TestShutdownEndsUnderPipelining(t *testing.T) {
+	for name, parts := range map[string][]string{
+		"whole heads":    {"GET / HTTP/1.1\nHost: h\n\n"},
+		"heads in parts": {"G", "ET / HTTP/1.1\n", "Host: h\n\n"},
+		"bodies":         {"POST / HTTP/1.1\nHost: h\nContent-Length: 2\n\na", "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var served, refused atomic.Int64
+			f := start(t, func(w http.ResponseWriter, r *http.Request) {
+				served.Add(1)
+				_, _ = io.Copy(io.Discard, r.Body)
+				time.Sleep(3 * time.Millisecond)
+			})
+			f.server.Refusal = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				refused.Add(1)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			conn, reader := f.dial(t)
+			go func() {
+				for {
+					for _, part := range parts {
+						if _, err := io.WriteString(conn, strings.ReplaceAll(part, "\n", "\r\n")); err != nil {
+							return
+						}
+						if len(parts) > 1 {
+							time.Sleep(2 * time.Millisecond)
+						}
+					}
+				}
+			}()
+			for range 3 {
+				response, _ := receive(t, reader)
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+			}
+			f.server.RefuseNew()
+			stopped := f.shutdown()
+			answers, last := int64(3), http.StatusOK
+			for {
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					break
+				}
+				_, err = io.Copy(io.Discard, response.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, last, http.StatusOK, "an answer follows the refusal")
+				last = response.StatusCode
+				answers++
+			}
+			assert.NilError(t, <-stopped)
+			assert.Equal(t, answers, served.Load()+refused.Load())
+			assert.Assert(t, refused.Load() <= 1)
+		})
+	}
+}
+
 // backlogListener accepts nothing before the server stops it: connections wait in the
 // backlog, as they do while the accepting goroutine is not scheduled.
 type backlogListener struct {
--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -214,6 +214,12 @@
 		return nil, false
 	}
 	c.pending++
+	handler := c.server.Handler
+	if c.server.refusing.Load() {
+		handler = c.server.Refusal
+		// Its response closes the connection.
+		c.closing = true
+	}
 	c.mu.Unlock()
 	w := &response{conn: c, request: request, header: http.Header{}, turn: turn}
 	var done chan struct{}
@@ -228,7 +234,7 @@
 		// Requests with side effects run only after all previous ones.
 		<-turn
 	}
-	go c.run(request, w, next, done)
+	go c.run(handler, request, w, next, done)
 	return done, true
 }
 
@@ -237,7 +243,7 @@
 func isSafe(method string) bool { return method == http.MethodGet || method == http.MethodHead }
 
 // run calls the handler and completes its response.
-func (c *conn) run(request *http.Request, w *response, next, bodyRead chan struct{}) {
+func (c *conn) run(handler http.Handler, request *http.Request, w *response, next, bodyRead chan struct{}) {
 	aborted := true
 	defer func() {
 		if recovered := recover(); recovered != nil && recovered != http.ErrAbortHandler {
@@ -253,7 +259,7 @@
 		c.requestDone(w)
 		close(next)
 	}()
-	c.server.Handler.ServeHTTP(w, request)
+	handler.ServeHTTP(w, request)
 	aborted = false
 }
 
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -5,7 +5,8 @@
 // other methods wait for the previous responses; when a caller closes its
 // connection, all its requests are canceled immediately, pipelined ones included;
 // an incomplete response closes its connection; a graceful shutdown interrupts no
-// request that has been read.
+// request that has been read, and ends although callers send on without a pause once
+// RefuseNew has been called.
 package caller
 
 import (
@@ -47,6 +48,9 @@
 	// FirstRequestWait is how long Shutdown waits for the first request on a
 	// connection that has had none.
 	FirstRequestWait time.Duration
+	// Refusal answers the requests that are read after RefuseNew. It must not read their
+	// bodies.
+	Refusal http.Handler
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -54,6 +58,7 @@
 	// acceptDone is closed when Serve accepts no more connections.
 	acceptDone chan struct{}
 	stopping   atomic.Bool
+	refusing   atomic.Bool
 }
 
 // ErrStopped is returned by Serve after Shutdown or Close.
@@ -129,6 +134,11 @@
 	}
 }
 
+// RefuseNew passes the requests that are read from now on to Refusal instead of Handler.
+// Each closes its connection, and what was sent behind it is not read. Without it, a
+// caller that sends on without a pause keeps a shutdown from ending.
+func (s *Server) RefuseNew() { s.refusing.Store(true) }
+
 // stopAccepting makes Serve stop accepting connections and waits until it has, so
 // that all accepted connections are known.
 func (s *Server) stopAccepting() {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -4,8 +4,9 @@
 //
 // Guarantees: control state changes on one goroutine (package loop); request
 // handling reads an immutable view; a graceful stop serves the requests in
-// flight and those that the load balancer still sends, and interrupts none
-// before it has to end (stopMargin before Settings.StopWithin).
+// flight and those that the load balancer still sends, refuses those that come
+// too late to be answered, and answers the rest before it has to end (stopMargin
+// before Settings.StopWithin).
 package gateway
 
 import (
@@ -56,7 +57,8 @@
 	balancerDelay = 2500 * time.Millisecond
 	// requestCutoff is the latest time after SIGTERM at which a request may be
 	// accepted that could still be running on its target when the stop has to end.
-	// The users' rules count such a request as LOST.
+	// The users' rules count such a request as LOST. Requests that are read later are
+	// refused.
 	requestCutoff = 3 * time.Second
 	// firstRequestWait is how long a stop waits for the first request on a
 	// connection that was opened while this VM still listened.
@@ -64,6 +66,9 @@
 	// stopMargin is the time left between the end of the stop and the moment the
 	// platform kills the process.
 	stopMargin = 400 * time.Millisecond
+	// answerMargin is the time between the moment at which the last requests are ended
+	// and the end of the stop, in which their answers are written.
+	answerMargin = 200 * time.Millisecond
 	// stopPollInterval is the interval at which a stop checks for requests in flight.
 	stopPollInterval = 20 * time.Millisecond
 )
@@ -116,8 +121,10 @@
 	callers     *caller.Server
 	listeners   map[string]net.Listener
 
-	view    atomic.Pointer[fleet.View]
-	leaving atomic.Bool
+	view atomic.Pointer[fleet.View]
+	// stopBy is the time by which a stop must have answered all requests; nil before the
+	// stop.
+	stopBy atomic.Pointer[time.Time]
 }
 
 // New opens the listeners and creates the components. Nothing is served before
@@ -163,9 +170,9 @@
 	})
 	g.handler = forward.New(forward.Config{
 		Domain: g.settings.FailureDomain, Dialect: platform.Dialect, Permits: g.desk, View: g.view.Load,
-		Pools: g.pools, Leaving: g.leaving.Load, Logger: g.logger, Metrics: g.metrics.Scope,
+		Pools: g.pools, StopBy: g.stopEnd, Logger: g.logger, Metrics: g.metrics.Scope,
 	})
-	g.callers = &caller.Server{Handler: g.handler, Limits: g.callerLimits, FirstRequestWait: firstRequestWait}
+	g.callers = &caller.Server{Handler: g.handler, Limits: g.callerLimits, FirstRequestWait: firstRequestWait, Refusal: g.handler.Refusal()}
 }
 
 // dial checks that a connection to the address can be opened.
@@ -236,8 +243,17 @@
 	return nil
 }
 
+// stopEnd returns the time by which a stop must have answered all requests; zero if this
+// VM is not stopping.
+func (g *Gateway) stopEnd() time.Time {
+	if by := g.stopBy.Load(); by != nil {
+		return *by
+	}
+	return time.Time{}
+}
+
 // ready reports whether this VM accepts new connections.
-func (g *Gateway) ready() bool { return !g.leaving.Load() && g.view.Load().Config != nil }
+func (g *Gateway) ready() bool { return g.stopEnd().IsZero() && g.view.Load().Config != nil }
 
 // Run serves until the context ends, then stops gracefully.
 func (g *Gateway) Run(ctx context.Context) error {
@@ -307,13 +323,17 @@
 
 // stop fails the readiness check, waits until the load balancer sends no more
 // connections, and then waits for the requests in flight. Responses sent meanwhile
-// tell callers to open a new connection.
+// tell callers to open a new connection. Requests that are read after requestCutoff are
+// refused; those that are still in flight near the end get an answer then.
 func (g *Gateway) stop() {
 	began := time.Now()
 	events.DaemonStopping.Log(&g.logger).Int("in_flight", g.handler.InFlight()).Send()
-	g.leaving.Store(true)
-	g.loop.Post(g.coordinator.Leave)
 	timeout := g.settings.StopWithin - stopMargin
+	answerBy := began.Add(timeout - answerMargin)
+	g.stopBy.Store(&answerBy)
+	g.loop.Post(g.coordinator.Leave)
+	defer time.AfterFunc(min(requestCutoff, timeout/2), g.callers.RefuseNew).Stop()
+	defer time.AfterFunc(time.Until(answerBy), g.handler.EndAll).Stop()
 	time.Sleep(min(balancerDelay, timeout))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(timeout))
 	defer cancel()
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -31,6 +31,9 @@
 	// keptBodyBytes is the size in bytes up to which the body of a request is kept for
 	// retries, and a response is held back until it is complete.
 	keptBodyBytes = 128 << 10
+	// stoppingRetryAfter is the retry delay suggested to callers while this VM stops.
+	// The retry goes to another VM.
+	stoppingRetryAfter = 30 * time.Millisecond
 	// unconfiguredRetryAfter is the retry delay suggested to callers while this VM lacks
 	// the configuration for their request.
 	unconfiguredRetryAfter = 300 * time.Millisecond
@@ -77,8 +80,9 @@
 	Permits Permits
 	View    func() *fleet.View
 	Pools   *Pools
-	// Leaving reports whether this VM is stopping.
-	Leaving func() bool
+	// StopBy returns the time by which a stop of this VM must have answered all requests;
+	// zero if this VM is not stopping.
+	StopBy  func() time.Time
 	Logger  zerolog.Logger
 	Metrics tally.Scope
 }
@@ -88,11 +92,28 @@
 	config   Config
 	metrics  *metrics
 	inFlight atomic.Int64
+	// ended is done once EndAll has been called.
+	ended  context.Context
+	endAll context.CancelFunc
 }
 
 // New returns a handler of callers' requests.
 func New(config Config) *Handler {
-	return &Handler{config: config, metrics: newMetrics(config.Metrics)}
+	h := &Handler{config: config, metrics: newMetrics(config.Metrics)}
+	h.ended, h.endAll = context.WithCancel(context.Background())
+	return h
+}
+
+// EndAll ends the requests in flight as if their deadline had passed: their callers get
+// an answer, unless a part of one has been passed on.
+func (h *Handler) EndAll() { h.endAll() }
+
+// Refusal returns a handler that refuses requests while this VM stops.
+func (h *Handler) Refusal() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		x := &exchange{handler: h, w: w, r: r, view: h.config.View(), began: time.Now(), id: h.config.Dialect.RequestID(r.Header)}
+		x.refuse("stopping", stoppingRetryAfter)
+	})
 }
 
 // InFlight returns the number of requests that are being served.
@@ -102,7 +123,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	if h.config.Leaving() {
+	if !h.config.StopBy().IsZero() {
 		w.Header().Set("Connection", "close")
 	}
 	exchange := h.begin(w, r)
@@ -110,6 +131,7 @@
 		return
 	}
 	defer exchange.cancel()
+	defer context.AfterFunc(h.ended, exchange.cancel)()
 	exchange.run()
 }
 
@@ -148,8 +170,8 @@
 	return x
 }
 
-// setDeadline sets the aim and the deadline, the latter to the earlier of the caller's
-// deadline and the route's timeout.
+// setDeadline sets the aim and the deadline, the latter to the earliest of the caller's
+// deadline, the route's timeout and the end of a stop of this VM.
 func (x *exchange) setDeadline() {
 	timeout, ok := x.handler.config.Dialect.Deadline(x.r.Header)
 	if !ok {
@@ -157,6 +179,9 @@
 	}
 	timeout = min(timeout, x.route.Timeout)
 	x.deadline = x.began.Add(timeout)
+	if stopBy := x.handler.config.StopBy(); !stopBy.IsZero() && stopBy.Before(x.deadline) {
+		x.deadline = stopBy
+	}
 	x.aim = x.began.Add(x.route.Aim)
 	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline)
 }
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -41,7 +41,10 @@
 	inFlight func() int
 	targets  []*fencetarget.Target
 	pools    *forward.Pools
+	handler  *forward.Handler
 	view     *fleet.View
+	// stopBy is the end of the VM's stop, if it is stopping.
+	stopBy time.Time
 
 	// waiting, if set, makes each request wait for its permit until its caller
 	// leaves; it receives a signal when a request begins to wait.
@@ -126,9 +129,9 @@
 	})
 	handler := forward.New(forward.Config{
 		Domain: "a", Dialect: platform.Dialect{}, Permits: f, View: func() *fleet.View { return f.view }, Pools: f.pools,
-		Leaving: func() bool { return false }, Logger: zerolog.Nop(),
+		StopBy: func() time.Time { return f.stopBy }, Logger: zerolog.Nop(),
 	})
-	f.inFlight = handler.InFlight
+	f.handler, f.inFlight = handler, handler.InFlight
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &caller.Server{Handler: handler, Limits: func() caller.Limits {
@@ -616,3 +619,74 @@
 		assert.Equal(t, answer.StatusCode, http.StatusServiceUnavailable)
 	}
 }
+
+// TestEndOfAStopAnswersWhatIsInFlight checks that requests that are in flight near the end
+// of a stop are answered: one that waits for a permit is refused, one that has been sent is
+// reported as possibly run.
+func TestEndOfAStopAnswersWhatIsInFlight(t *testing.T) {
+	for name, c := range map[string]struct {
+		waiting bool
+		path    string
+		status  int
+	}{
+		"waiting":            {true, "/once/", http.StatusServiceUnavailable},
+		"sent, at most once": {false, "/once/", http.StatusGatewayTimeout},
+		"sent, idempotent":   {false, "/safe/", http.StatusGatewayTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startFixture(t, "silent", "silent")
+			if c.waiting {
+				f.waiting = make(chan struct{}, 1)
+			}
+			for i := range f.view.Config.Routes {
+				f.view.Config.Routes[i].Timeout = eventTimeout
+			}
+			answers := make(chan callerResponse, 1)
+			go func() { answers <- f.sendWithin(t, eventTimeout, "POST", c.path, "a1", "body") }()
+			if c.waiting {
+				<-f.waiting
+			} else {
+				for len(f.runs()) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			f.handler.EndAll()
+			answer := <-answers
+			assert.NilError(t, answer.err)
+			assert.Equal(t, answer.status, c.status)
+		})
+	}
+}
+
+// TestTargetHasUntilTheEndOfTheStop checks that a request that comes during a stop ends
+// before the stop does, and that its target is told so.
+func TestTargetHasUntilTheEndOfTheStop(t *testing.T) {
+	f := startFixture(t)
+	left := make(chan string, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		left <- r.Header.Get("Request-Deadline")
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
+	f.targets = append(f.targets, fencetarget.New(fencetarget.Settings{ID: "t0"}))
+	f.view.Targets["t0"] = &fleet.Target{
+		Life: fleet.Life{ID: "t0", Born: 1}, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 1,
+	}
+	f.stopBy = time.Now().Add(300 * time.Millisecond)
+	answer := f.send(t, "GET", "/safe/", "a1", "")
+	assert.NilError(t, answer.err)
+	assert.Equal(t, answer.status, http.StatusGatewayTimeout)
+	millis, err := strconv.Atoi(<-left)
+	assert.NilError(t, err)
+	assert.Assert(t, millis <= 300, "the target was told %d ms", millis)
+}
+
+// TestRefusalOfAStopIsNotRun checks what callers get from a VM that takes no more requests.
+func TestRefusalOfAStopIsNotRun(t *testing.T) {
+	f := startFixture(t, "")
+	recorder := httptest.NewRecorder()
+	f.handler.Refusal().ServeHTTP(recorder, httptest.NewRequest("POST", "/once/", strings.NewReader("x")))
+	assert.Equal(t, recorder.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, recorder.Header().Get("Retry-After"), "0.030")
+	assert.Equal(t, len(f.runs()), 0)
+}
