Write the endless bytes of a test together with its response

Cause: the target of TestNoBytesOfATargetMakeAPromise wrote a response without a body and the endless bytes behind it in two calls. Between them the response was complete and nothing showed that bytes follow, so the next request could be sent over the kept connection and was lost, which the 502 said truly. Change: both are written in one call; no bound, bytes or expectation changed.

--- a/internal/request/forward/hostile_test.go
+++ b/internal/request/forward/hostile_test.go
@@ -71,8 +71,11 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
-		_, err = io.WriteString(socket, r.script.afterBody)
-		for text := strings.Repeat(r.script.repeated, 100); err == nil && text != ""; {
+		// The first repeated bytes are written together with the response: between two writes
+		// the response is complete, and the next request could follow on the connection.
+		text := strings.Repeat(r.script.repeated, 100)
+		_, err = io.WriteString(socket, r.script.afterBody+text)
+		for err == nil && text != "" {
 			_, err = io.WriteString(socket, text)
 		}
 		if r.script.reset {
