Give up only the work that panics

Cause: a panic of the handler of one request, of one message of another VM or of one entry of the store ended the process. One such message is known: a heartbeat without versions that carries a part of the state (nil pointer in handleState). Ruled out: recovering everywhere on the control loop; a panic of a change that begins inside the process shows a broken invariant, and a restart holds nothing, while targets' fences keep what must hold. Change: package contain recovers where the work can be given up alone, and logs event 1007 with the stack. The connection of a request that panics is closed, the others go on. The desk releases its lock in that case. Heartbeats without versions are ignored.

--- a/internal/connection/caller/caller_test.go
+++ b/internal/connection/caller/caller_test.go
@@ -382,6 +382,27 @@
 	}
 }
 
+// TestPanicEndsOnlyItsConnection checks that a handler that panics costs its own connection
+// only, and that the panic is reported.
+func TestPanicEndsOnlyItsConnection(t *testing.T) {
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/panic" {
+			panic("the handler has a fault")
+		}
+	})
+	reported := make(chan any, 1)
+	f.server.Panicked = func(_ *http.Request, reason any) { reported <- reason }
+	other, otherReader := f.dial(t)
+	conn, reader := f.dial(t)
+	send(t, conn, "GET /panic HTTP/1.1\nHost: h\n\n")
+	_, err := reader.ReadByte()
+	assert.Equal(t, err, io.EOF)
+	assert.Equal(t, <-reported, any("the handler has a fault"))
+	send(t, other, "GET / HTTP/1.1\nHost: h\n\n")
+	response, _ := receive(t, otherReader)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
+
 // backlogListener accepts nothing before the server stops it: connections wait in the
 // backlog, as they do while the accepting goroutine is not scheduled.
 type backlogListener struct {
--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -246,8 +246,8 @@
 func (c *conn) run(handler http.Handler, request *http.Request, w *response, next, bodyRead chan struct{}) {
 	aborted := true
 	defer func() {
-		if recovered := recover(); recovered != nil && recovered != http.ErrAbortHandler {
-			panic(recovered)
+		if reason := recover(); reason != nil && reason != http.ErrAbortHandler && c.server.Panicked != nil {
+			c.server.Panicked(request, reason)
 		}
 		if aborted || w.finish() != nil {
 			w.markIncomplete()
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -42,6 +42,9 @@
 // Server is an HTTP/1.1 server for callers.
 type Server struct {
 	Handler http.Handler
+	// Panicked, if set, is called when Handler has panicked, other than with
+	// http.ErrAbortHandler. The connection of the request is closed, the others go on.
+	Panicked func(request *http.Request, reason any)
 	// Limits returns the limits in force. It is called for each request, so changes
 	// apply from the next request on.
 	Limits func() Limits
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -86,6 +86,11 @@
 	if state.Term < c.view.Term || state.Leader == nil {
 		return
 	}
+	if state.Versions == nil {
+		// Every leader sends the versions of its state.
+		c.config.Logger.Warn().Str("from", sender.VM).Msg("ignored a heartbeat without versions")
+		return
+	}
 	if c.lead != nil {
 		if state.Term <= c.lead.record.Term {
 			return
--- a/internal/process/events/process.go
+++ b/internal/process/events/process.go
@@ -10,4 +10,5 @@
 	LogLinesDropped = register(1004, "log-lines-dropped", zerolog.WarnLevel, "The log output could not keep up; count is the number of lines dropped since the last event of this kind.")
 	SettingsRead    = register(1005, "settings-read", zerolog.InfoLevel, "The settings file was read again on SIGHUP; changed values take effect at the next start.")
 	SettingsInvalid = register(1006, "settings-invalid", zerolog.WarnLevel, "The settings file was read again on SIGHUP and is invalid; the daemon keeps running but cannot start again with this file.")
+	PanicContained  = register(1007, "panic-contained", zerolog.ErrorLevel, "The program hit an error of its own and gave up the work named in the line, a request, a message or an entry; the process goes on. Report it with its stack.")
 )
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/caller"
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/target"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/contain"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/coordinator"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/daemon"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
@@ -172,7 +173,10 @@
 		Domain: g.settings.FailureDomain, Dialect: platform.Dialect, Permits: g.desk, View: g.view.Load,
 		Pools: g.pools, StopBy: g.stopEnd, Logger: g.logger, Metrics: g.metrics.Scope,
 	})
-	g.callers = &caller.Server{Handler: g.handler, Limits: g.callerLimits, FirstRequestWait: firstRequestWait, Refusal: g.handler.Refusal()}
+	g.callers = &caller.Server{
+		Handler: g.handler, Limits: g.callerLimits, FirstRequestWait: firstRequestWait, Refusal: g.handler.Refusal(),
+		Panicked: g.requestPanicked,
+	}
 }
 
 // dial checks that a connection to the address can be opened.
@@ -228,21 +232,29 @@
 }
 
 // handleControl dispatches a message from a peer. Permit messages are served
-// immediately, all others on the loop.
+// immediately, all others on the loop. A message that cannot be handled is dropped.
 func (g *Gateway) handleControl(from peer.Peer, message *peerv1.Control) *peerv1.Control {
-	if g.desk.Handle(from, message) {
+	work := "message of " + from.VM
+	forDesk := false
+	if !contain.Run(&g.logger, work, func() { forDesk = g.desk.Handle(from, message) }) || forDesk {
 		return nil
 	}
 	g.loop.Post(func() {
-		reply, _ := g.coordinator.Handle(from, message)
-		if reply != nil {
-			reply.ReplyTo = message.Call
-			g.transport.Send(from.VM, reply)
-		}
+		contain.Run(&g.logger, work, func() {
+			if reply, _ := g.coordinator.Handle(from, message); reply != nil {
+				reply.ReplyTo = message.Call
+				g.transport.Send(from.VM, reply)
+			}
+		})
 	})
 	return nil
 }
 
+// requestPanicked logs a panic of the handler of callers' requests.
+func (g *Gateway) requestPanicked(r *http.Request, reason any) {
+	contain.Log(&g.logger, "request "+r.Method+" "+r.URL.Path, reason)
+}
+
 // stopEnd returns the time by which a stop must have answered all requests; zero if this
 // VM is not stopping.
 func (g *Gateway) stopEnd() time.Time {
--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/chestnutcourse/chestnutcourse/internal/process/contain"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/loop"
@@ -205,32 +206,40 @@
 func (o *Observer) configListed(objects []store.Object) { o.configChanged(objects) }
 
 func (o *Observer) configChanged(objects []store.Object) {
-	for _, object := range objects {
+	o.eachObject(objects, func(object store.Object) {
 		if object.Deleted {
-			continue
+			return
 		}
 		config, err := o.config.Names.DecodeConfig(object)
 		if err != nil {
 			events.DeclarationInvalid.Log(o.config.Logger).Str("object", object.Name).Err(err).Send()
-			continue
+			return
 		}
 		if o.fleetConfig != nil && config.Version <= o.fleetConfig.Version {
-			continue
+			return
 		}
 		o.fleetConfig = config
 		events.ConfigurationObserved.Log(o.config.Logger).Uint64("version", config.Version).
 			Int("routes", len(config.Routes)).Int64("revision", object.Version).Send()
+	})
+}
+
+// eachObject calls f for each object. An object for which f panics is skipped, like one
+// that cannot be decoded.
+func (o *Observer) eachObject(objects []store.Object, f func(store.Object)) {
+	for _, object := range objects {
+		contain.Run(o.config.Logger, "entry "+object.Name, func() { f(object) })
 	}
 }
 
 func (o *Observer) targetsListed(objects []store.Object) {
 	present := map[string]bool{}
-	for _, object := range objects {
+	o.eachObject(objects, func(object store.Object) {
 		// An entry that is invalid or older says nothing new about the target, but it has
 		// not been removed either.
 		present[o.targetID(object)] = true
 		o.applyTarget(object)
-	}
+	})
 	for id := range o.targets {
 		if !present[id] {
 			o.handleMissing(id)
@@ -239,13 +248,13 @@
 }
 
 func (o *Observer) targetsChanged(objects []store.Object) {
-	for _, object := range objects {
+	o.eachObject(objects, func(object store.Object) {
 		if object.Deleted {
 			o.handleMissing(o.targetID(object))
-			continue
+			return
 		}
 		o.applyTarget(object)
-	}
+	})
 }
 
 // targetID returns the ID of the target that an entry is about.
--- a/internal/process/observer/observer_test.go
+++ b/internal/process/observer/observer_test.go
@@ -55,8 +55,11 @@
 		Names: Names{
 			Config: "config/", Targets: "targets/", Evacuations: "evacuations/",
 			DecodeTarget: func(object store.Object, _ time.Time) (*fleet.Target, error) {
-				if string(object.Value) == "odd" {
+				switch string(object.Value) {
+				case "odd":
 					return nil, errOdd
+				case "panic":
+					panic("the decoder has a fault")
 				}
 				return &fleet.Target{Life: fleet.Life{ID: string(object.Value), Born: 1}}, nil
 			},
@@ -139,6 +142,25 @@
 	}
 }
 
+// TestEntryThatPanicsIsSkipped checks that an entry on which the decoder panics costs only
+// itself, in a list and in a watch.
+func TestEntryThatPanicsIsSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newFixture(t)
+		put := func(name, value string) {
+			_, err := o.store.Put(t.Context(), "targets/"+name, []byte(value), store.Absent)
+			assert.NilError(t, err)
+		}
+		put("a", "panic")
+		o.watch(t, time.Time{}, time.Second)
+		assert.Assert(t, !o.isLeaving("t0"))
+		put("b", "panic")
+		put("t2", "t2")
+		time.Sleep(time.Second)
+		assert.Assert(t, !o.isLeaving("t2"))
+	})
+}
+
 // TestEntriesMayComeBackAfterAnOutage checks that a missing entry gets time to reappear
 // after an outage that ended just before the watch began.
 func TestEntriesMayComeBackAfterAnOutage(t *testing.T) {
--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -283,9 +283,7 @@
 
 // endLocal reports an end to a broker of this VM.
 func (d *Desk) endLocal(b *admission.Broker, end admission.End) {
-	d.mu.Lock()
-	b.End(end, time.Now())
-	d.mu.Unlock()
+	d.locked(func() { b.End(end, time.Now()) })
 	d.flush()
 }
 
@@ -308,20 +306,27 @@
 // that sent it.
 func (d *Desk) submit(b *admission.Broker, r admission.Request) {
 	now := time.Now()
-	d.mu.Lock()
-	d.applyLatest(b, now)
-	if b == d.broker {
-		d.countDemand(r, now)
-	}
-	b.Ask(r, now)
-	if b == d.broker && r.ID.VM != d.config.Self && b.Waiting(r.Service, r.ID) {
-		d.replies = append(d.replies, reply{r.ID.VM, &peerv1.PermitReply{Number: r.ID.Number, Queued: true}})
-	}
-	d.scheduleTick()
-	d.mu.Unlock()
+	d.locked(func() {
+		d.applyLatest(b, now)
+		if b == d.broker {
+			d.countDemand(r, now)
+		}
+		b.Ask(r, now)
+		if b == d.broker && r.ID.VM != d.config.Self && b.Waiting(r.Service, r.ID) {
+			d.replies = append(d.replies, reply{r.ID.VM, &peerv1.PermitReply{Number: r.ID.Number, Queued: true}})
+		}
+		d.scheduleTick()
+	})
 	d.flush()
 }
 
+// locked runs a function under mu, which is released even if the function panics.
+func (d *Desk) locked(f func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f()
+}
+
 // countDemand adds the expected work of a first attempt to the demand for its key.
 // The caller holds mu.
 func (d *Desk) countDemand(r admission.Request, now time.Time) {
