Treat a target whose connection was lost as cold until its entry is read

Cause: a target that starts again under its id and at its address is cold, which its entry says. Change: AssumeCold when a fence replaces one whose connection is gone or whose owner refuses its keys, and again when that fence is taken, followed by a read of the entries.

--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -297,8 +297,18 @@
 		}
 		newFence = lt.handleConflict(t, refused, now, c.config.Uptime())
 		changed = newFence != 0
+		if !refused && changed {
+			lt.maybeNextProcess[newFence] = true
+			c.assumeRestarted(t.target, now)
+		}
 	default:
 		changed = lt.grantDone(t, err == nil, now)
+		if err == nil && lt.maybeNextProcess[t.fence] {
+			// The process that has taken the fence may have started since the last read.
+			delete(lt.maybeNextProcess, t.fence)
+			changed = c.assumeRestarted(t.target, now) || changed
+			c.observer.ConfirmEntries()
+		}
 	}
 	c.logOrder(t, err, now.Sub(began), changed, newFence)
 	if changed {
@@ -320,11 +330,32 @@
 		if c.lead != l {
 			return
 		}
+		if l.targetsPending {
+			// The broker has to spare a cold target before it is granted keys.
+			l.targetsPending = false
+			view := *c.view
+			view.Targets = c.observer.Targets()
+			c.publish(&view)
+		}
 		c.publishSlices()
 		c.sendDueOrders(time.Now())
 	})
 }
 
+// assumeRestarted handles signs that another process of a target may have taken its place.
+// Its entry in the store says that it is cold, but it may not have arrived yet, or the store
+// may be away. Until it is known to be current, the target counts as cold.
+//
+// The result reports whether that is news.
+func (c *Coordinator) assumeRestarted(life fleet.Life, now time.Time) bool {
+	if !c.observer.Complete() || !c.observer.AssumeCold(life, now) {
+		return false
+	}
+	c.lead.targetsPending = true
+	events.TargetAssumedCold.Log(c.config.Logger).Str("target", life.ID).Int64("born", life.Born).Send()
+	return true
+}
+
 // logOrder logs the result of an order, except for renewals that changed nothing. newFence
 // is the fence that the slice was newly assigned, or 0.
 func (c *Coordinator) logOrder(t task, err error, took time.Duration, changed bool, newFence uint64) {
@@ -358,6 +389,8 @@
 	}
 	if l.leaseTable.refence(s, c.config.Uptime()) {
 		s.Ready = false
+		l.leaseTable.maybeNextProcess[s.Fence] = true
+		c.assumeRestarted(life, time.Now())
 		c.publishSlicesSoon()
 	}
 }
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -89,8 +89,9 @@
 
 	// declarationsChanged is set if there are declarations to publish.
 	declarationsChanged bool
-	// slicesPending is set while publishing the owners of keys waits on the loop.
-	slicesPending bool
+	// slicesPending is set while publishing the owners of keys waits on the loop,
+	// targetsPending if the targets are to be published as well.
+	slicesPending, targetsPending bool
 	// pushAt is when pending changes are sent to the other VMs; zero if there are
 	// none.
 	pushAt time.Time
--- a/internal/process/coordinator/leasetable.go
+++ b/internal/process/coordinator/leasetable.go
@@ -95,6 +95,9 @@
 	// minConfirmedUptime holds, by fence, the uptime at or after which this VM must have
 	// been confirmed as the leader before the fence is first sent.
 	minConfirmedUptime map[uint64]time.Duration
+	// maybeNextProcess holds the fences that replace one whose process may have ended: the
+	// one that takes such a fence may be the next, unseen and cold.
+	maybeNextProcess map[uint64]bool
 }
 
 // sliceID identifies a slice. The fence alone does not: when a slice is split, both
@@ -139,7 +142,7 @@
 		newFenceGrantedAt: map[fleet.Life]time.Time{},
 		firstGrants:       map[string]map[order]fleet.Slice{}, inFlight: map[order]bool{}, retryAt: map[order]time.Time{},
 		confirmedAt: map[sliceID]time.Time{}, readySince: map[sliceID]time.Time{},
-		sentFences: map[uint64]bool{}, minConfirmedUptime: map[uint64]time.Duration{},
+		sentFences: map[uint64]bool{}, minConfirmedUptime: map[uint64]time.Duration{}, maybeNextProcess: map[uint64]bool{},
 	}
 	for service, list := range slices {
 		lt.slices[service] = append([]fleet.Slice(nil), list...)
@@ -163,6 +166,7 @@
 	maps.DeleteFunc(lt.handovers, func(fence uint64, _ string) bool { return !fences[fence] })
 	maps.DeleteFunc(lt.sentFences, func(fence uint64, _ bool) bool { return !fences[fence] })
 	maps.DeleteFunc(lt.minConfirmedUptime, func(fence uint64, _ time.Duration) bool { return !fences[fence] })
+	maps.DeleteFunc(lt.maybeNextProcess, func(fence uint64, _ bool) bool { return !fences[fence] })
 	maps.DeleteFunc(lt.confirmedAt, func(id sliceID, _ time.Time) bool { return !present[id] })
 	maps.DeleteFunc(lt.readySince, func(id sliceID, _ time.Time) bool { return !present[id] })
 	maps.DeleteFunc(lt.retryAt, func(o order, _ time.Time) bool { return !present[sliceID{o.fence, o.first}] })
--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -58,7 +58,9 @@
 // Observer holds the latest declarations. Its methods must be called on the loop.
 type Observer struct {
 	config Config
-	cancel context.CancelFunc
+	// watchContext is the context of the watches, which cancel ends.
+	watchContext context.Context
+	cancel       context.CancelFunc
 	// listed holds the prefixes that have been listed since Start.
 	listed map[string]bool
 
@@ -77,6 +79,18 @@
 	outage bool
 	// missing holds the targets whose entries are absent but may reappear.
 	missing map[string]bool
+	// assumed holds the targets that are assumed to be cold, by ID. confirming is set while
+	// their entries are read, askAgain if they have to be read once more after that.
+	assumed              map[string]assumption
+	confirming, askAgain bool
+}
+
+// assumption is that a target may have restarted and be cold, although its entry does not
+// say so yet.
+type assumption struct {
+	life fleet.Life
+	// coldUntil is when the target is warm again.
+	coldUntil time.Time
 }
 
 // New returns an observer that watches nothing yet.
@@ -84,6 +98,7 @@
 	return &Observer{
 		config: config, listed: map[string]bool{}, targets: map[string]*fleet.Target{}, removedAt: map[string]time.Time{},
 		evacuated: map[string]bool{}, evacuationEndedAt: map[string]time.Time{}, missing: map[string]bool{},
+		assumed: map[string]assumption{},
 	}
 }
 
@@ -121,7 +136,9 @@
 	}
 	o.outage, o.reappearUntil = false, storeFailedAt.Add(reappearTime)
 	clear(o.missing)
+	clear(o.assumed)
 	ctx, o.cancel = context.WithCancel(ctx)
+	o.watchContext = ctx
 	o.watchPrefix(ctx, o.config.Names.Config, o.configListed, o.configChanged)
 	o.watchPrefix(ctx, o.config.Names.Targets, o.targetsListed, o.targetsChanged)
 	o.watchPrefix(ctx, o.config.Names.Evacuations, o.evacuationsListed, o.evacuationsChanged)
@@ -156,6 +173,68 @@
 	})
 }
 
+// AssumeCold records that a target may have restarted, so that it is cold from now on. It
+// reports whether that is news. ConfirmEntries ends the assumption if it is wrong.
+func (o *Observer) AssumeCold(life fleet.Life, now time.Time) bool {
+	t := o.targets[life.ID]
+	if t == nil || t.Life != life || o.cancel == nil {
+		return false
+	}
+	until := o.coldUntil(t, now)
+	if !until.After(t.ColdUntil) {
+		return false
+	}
+	o.assumed[life.ID] = assumption{life: life, coldUntil: until}
+	return true
+}
+
+// ConfirmEntries reads the entries of the targets that are assumed to be cold: that of a
+// target that has restarted has changed. If the store does not answer, the assumptions hold
+// until they have run out.
+func (o *Observer) ConfirmEntries() {
+	if o.confirming || o.cancel == nil {
+		o.askAgain = true
+		return
+	}
+	o.confirming, o.askAgain = true, false
+	asked := maps.Clone(o.assumed)
+	ctx := o.watchContext
+	go func() {
+		objects, _, err := o.config.Store.List(ctx, o.config.Names.Targets)
+		o.config.Loop.Post(func() {
+			o.confirming = false
+			if ctx.Err() != nil {
+				return
+			}
+			if err == nil && o.endAssumptions(asked, objects) {
+				o.config.Changed()
+			}
+			if err == nil && o.askAgain {
+				o.ConfirmEntries()
+			}
+		})
+	}()
+}
+
+// endAssumptions ends the assumptions about targets whose entries are still those of the
+// process that was known. It reports whether there were any. The entries are not applied:
+// the watch may have brought later ones.
+func (o *Observer) endAssumptions(asked map[string]assumption, objects []store.Object) bool {
+	ended := false
+	for _, object := range objects {
+		id := o.targetID(object)
+		if a, assumed := asked[id]; !assumed || o.assumed[id] != a {
+			continue
+		}
+		t, err := o.config.Names.DecodeTarget(object, time.Now())
+		if err == nil && t.Life == asked[id].life {
+			delete(o.assumed, id)
+			ended = true
+		}
+	}
+	return ended
+}
+
 // recordContact records the result of a call to the store. For a while after an
 // outage, missing entries may still reappear.
 func (o *Observer) recordContact(prefix string, err error) {
@@ -198,7 +277,17 @@
 
 // Targets returns a copy of the map of the targets by ID. The targets themselves are
 // shared and must not be changed.
-func (o *Observer) Targets() map[string]*fleet.Target { return maps.Clone(o.targets) }
+func (o *Observer) Targets() map[string]*fleet.Target {
+	targets := maps.Clone(o.targets)
+	for id, a := range o.assumed {
+		if t := targets[id]; t != nil && t.Life == a.life && a.coldUntil.After(t.ColdUntil) {
+			copied := *t
+			copied.ColdUntil = a.coldUntil
+			targets[id] = &copied
+		}
+	}
+	return targets
+}
 
 // Evacuated returns a copy of the set of evacuated failure domains.
 func (o *Observer) Evacuated() map[string]bool { return maps.Clone(o.evacuated) }
--- a/internal/process/observer/observer_test.go
+++ b/internal/process/observer/observer_test.go
@@ -142,6 +142,41 @@
 	}
 }
 
+// TestTargetIsAssumedColdUntilItsEntryIsRead checks how long a target that may have
+// restarted counts as cold: until its entry shows that it has not, or, while the store does
+// not answer, for as long as a target is cold after its start.
+func TestTargetIsAssumedColdUntilItsEntryIsRead(t *testing.T) {
+	const cold = 3 * time.Second
+	for name, down := range map[string]bool{"store answers": false, "store is down": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newFixture(t)
+				o.watch(t, time.Time{}, time.Second)
+				o.store.down.Store(down)
+				var began time.Time
+				o.config.Loop.Call(func() {
+					o.fleetConfig = &fleet.Config{Services: []fleet.Service{{Cold: cold}}}
+					o.fleetConfig.Index()
+					began = time.Now()
+					assert.Assert(t, o.AssumeCold(fleet.Life{ID: "t0", Born: 1}, began))
+					assert.Assert(t, !o.AssumeCold(fleet.Life{ID: "t0", Born: 0}, began), "another process")
+				})
+				time.Sleep(100 * time.Millisecond)
+				assert.Assert(t, o.isColdAt("t0", began.Add(time.Second)), "nothing has been read")
+				o.config.Loop.Call(o.ConfirmEntries)
+				time.Sleep(100 * time.Millisecond)
+				assert.Equal(t, o.isColdAt("t0", began.Add(cold-time.Millisecond)), down)
+				assert.Assert(t, !o.isColdAt("t0", began.Add(cold)))
+			})
+		})
+	}
+}
+
+func (o *fixture) isColdAt(id string, at time.Time) (cold bool) {
+	o.config.Loop.Call(func() { cold = at.Before(o.Targets()[id].ColdUntil) })
+	return cold
+}
+
 // TestEntryThatPanicsIsSkipped checks that an entry on which the decoder panics costs only
 // itself, in a list and in a watch.
 func TestEntryThatPanicsIsSkipped(t *testing.T) {
