Cover the first fences of a new leader, batch the reads of entries

Change: fences given at a takeover count as ones whose process may be the next. The entries are read 0.1 s after the first assumption, for all targets together, and assumed targets are published 30 ms apart at most, since a takeover concerns all owners. An assumption changes no capacities, so it moves no keys. Event 4116 is logged only if the read failed.

--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -36,6 +36,10 @@
 	// Without the store, the leader is confirmed by the reports of VMs, which are usually
 	// up to this old.
 	maxConfirmationIntervals = 2
+	// targetsInterval is the minimum time between two views in which targets that are
+	// assumed to be cold have changed. A new leader assumes it of all owners of keys one
+	// after the other, and a view with other targets is expensive.
+	targetsInterval = 30 * time.Millisecond
 	// declarationWait is how long a new leader waits for the declarations, that is the
 	// configuration and the targets in the store, before it takes keys from targets that
 	// are not declared.
@@ -149,7 +153,8 @@
 		capacity /= observed.Slowness
 	}
 	capacity *= 1 - observed.FailureShare
-	if now.Before(t.ColdUntil) {
+	if c.observer.DeclaredCold(t.ID, now) {
+		// A mere assumption, which may concern many targets, moves no keys.
 		capacity *= coldCapacityShare
 	}
 	return max(capacity, minCapacityShare*float64(t.Slots))
@@ -330,13 +335,7 @@
 		if c.lead != l {
 			return
 		}
-		if l.targetsPending {
-			// The broker has to spare a cold target before it is granted keys.
-			l.targetsPending = false
-			view := *c.view
-			view.Targets = c.observer.Targets()
-			c.publish(&view)
-		}
+		c.publishAssumed(time.Now())
 		c.publishSlices()
 		c.sendDueOrders(time.Now())
 	})
@@ -344,18 +343,29 @@
 
 // assumeRestarted handles signs that another process of a target may have taken its place.
 // Its entry in the store says that it is cold, but it may not have arrived yet, or the store
-// may be away. Until it is known to be current, the target counts as cold.
-//
-// The result reports whether that is news.
+// may be away. Until it is known to be current, the target counts as cold. The result
+// reports whether that is news.
 func (c *Coordinator) assumeRestarted(life fleet.Life, now time.Time) bool {
 	if !c.observer.Complete() || !c.observer.AssumeCold(life, now) {
 		return false
 	}
 	c.lead.targetsPending = true
-	events.TargetAssumedCold.Log(c.config.Logger).Str("target", life.ID).Int64("born", life.Born).Send()
 	return true
 }
 
+// publishAssumed shows the targets that are assumed to be cold to this VM's broker, which
+// has to spare them. The other VMs need not know: all permits come from there.
+func (c *Coordinator) publishAssumed(now time.Time) {
+	l := c.lead
+	if !l.targetsPending || now.Sub(l.targetsPublishedAt) < targetsInterval {
+		return
+	}
+	l.targetsPending, l.targetsPublishedAt = false, now
+	view := *c.view
+	view.Targets = c.observer.Targets()
+	c.publish(&view)
+}
+
 // logOrder logs the result of an order, except for renewals that changed nothing. newFence
 // is the fence that the slice was newly assigned, or 0.
 func (c *Coordinator) logOrder(t task, err error, took time.Duration, changed bool, newFence uint64) {
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -91,7 +91,9 @@
 	declarationsChanged bool
 	// slicesPending is set while publishing the owners of keys waits on the loop,
 	// targetsPending if the targets are to be published as well.
+	// targetsPublishedAt is when they last were.
 	slicesPending, targetsPending bool
+	targetsPublishedAt            time.Time
 	// pushAt is when pending changes are sent to the other VMs; zero if there are
 	// none.
 	pushAt time.Time
@@ -210,6 +212,7 @@
 		l.declarationsChanged = false
 		c.publishDeclarations(now)
 	}
+	c.publishAssumed(now)
 	if !l.pushAt.IsZero() && !now.Before(l.pushAt) {
 		c.pushAll()
 	}
--- a/internal/process/coordinator/leasetable.go
+++ b/internal/process/coordinator/leasetable.go
@@ -147,7 +147,9 @@
 	for service, list := range slices {
 		lt.slices[service] = append([]fleet.Slice(nil), list...)
 		for i := range list {
-			lt.refence(&lt.slices[service][i], 0)
+			s := &lt.slices[service][i]
+			lt.refence(s, 0)
+			lt.maybeNextProcess[s.Fence] = true
 		}
 	}
 	return lt
--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -30,6 +30,9 @@
 	// removedRetention is how long a removed target is remembered, so that its keys
 	// can be taken back from it.
 	removedRetention = 30 * time.Second
+	// confirmPause is the pause before the entries of targets that are assumed to be cold
+	// are read, so that one read serves many: a new leader assumes it of all owners of keys.
+	confirmPause = 100 * time.Millisecond
 )
 
 // Names holds the store prefixes of the watched objects and their decoders.
@@ -197,25 +200,42 @@
 		return
 	}
 	o.confirming, o.askAgain = true, false
-	asked := maps.Clone(o.assumed)
-	ctx := o.watchContext
+	time.AfterFunc(confirmPause, func() { o.config.Loop.Post(o.readAssumed) })
+}
+
+// readAssumed reads the entries of the targets that are assumed to be cold.
+func (o *Observer) readAssumed() {
+	if o.cancel == nil {
+		o.confirming = false
+		return
+	}
+	asked, ctx := maps.Clone(o.assumed), o.watchContext
+	o.askAgain = false
 	go func() {
 		objects, _, err := o.config.Store.List(ctx, o.config.Names.Targets)
 		o.config.Loop.Post(func() {
 			o.confirming = false
-			if ctx.Err() != nil {
+			switch {
+			case ctx.Err() != nil:
 				return
-			}
-			if err == nil && o.endAssumptions(asked, objects) {
+			case err != nil:
+				events.TargetsAssumedCold.Log(o.config.Logger).Int("targets", len(asked)).Err(err).Send()
+			case o.endAssumptions(asked, objects):
 				o.config.Changed()
 			}
-			if err == nil && o.askAgain {
+			if o.askAgain {
 				o.ConfirmEntries()
 			}
 		})
 	}()
 }
 
+// DeclaredCold reports whether a target is cold by its entry.
+func (o *Observer) DeclaredCold(id string, now time.Time) bool {
+	t := o.targets[id]
+	return t != nil && now.Before(t.ColdUntil)
+}
+
 // endAssumptions ends the assumptions about targets whose entries are still those of the
 // process that was known. It reports whether there were any. The entries are not applied:
 // the watch may have brought later ones.
--- a/internal/process/observer/observer_test.go
+++ b/internal/process/observer/observer_test.go
@@ -164,6 +164,7 @@
 				time.Sleep(100 * time.Millisecond)
 				assert.Assert(t, o.isColdAt("t0", began.Add(time.Second)), "nothing has been read")
 				o.config.Loop.Call(o.ConfirmEntries)
+				time.Sleep(confirmPause)
 				time.Sleep(100 * time.Millisecond)
 				assert.Equal(t, o.isColdAt("t0", began.Add(cold-time.Millisecond)), down)
 				assert.Assert(t, !o.isColdAt("t0", began.Add(cold)))
