Deliver an answer that arrived before the deadline but is read after it

Cause: when the deadline of an exchange passed, its connection was reset at once. A VM that had stood still past the deadline threw away answers that had arrived meanwhile: when it goes on, the timer runs before the reader. Its callers got 504 for requests that had run and been answered. Ruled out: starting such work again (it may run once only); a later deadline for the target (it keeps to the caller's). Change: after a deadline the connection is read for 20 ms more and then reset; it is not written to and never used again. A caller that leaves still resets at once. Before: TestRunningRequestsOutlastASilence failed for a VM that stood still (504 for six requests that had run).

--- a/internal/connection/target/connection.go
+++ b/internal/connection/target/connection.go
@@ -86,6 +86,25 @@
 	_ = s.Close()
 }
 
+// arrivedAnswerTime is how long an answer may still be read after the deadline. It has
+// arrived by then, but this process may not have had its turn, for instance because its VM
+// was suspended. It is also the time for which a request that was given up may go on at the
+// target.
+const arrivedAnswerTime = 20 * time.Millisecond
+
+// giveUp resets the socket because the context of its exchange has ended with an error. The
+// socket is never used for another exchange.
+func (s *countingSocket) giveUp(err error) {
+	if err != context.DeadlineExceeded {
+		s.reset()
+		return
+	}
+	// These fail only on a socket that is already closed.
+	_ = s.SetWriteDeadline(time.Now())
+	_ = s.SetReadDeadline(time.Now().Add(arrivedAnswerTime))
+	time.AfterFunc(arrivedAnswerTime, s.reset)
+}
+
 // discardUndeliveredOnClose makes the kernel discard undelivered data when the socket is
 // closed, including when it is closed because this process ends.
 func (s *countingSocket) discardUndeliveredOnClose() {
--- a/internal/connection/target/giveup_test.go
+++ b/internal/connection/target/giveup_test.go
@@ -20,6 +20,26 @@
 // bytes.
 const receiveBufferBytes = 4 << 10
 
+// TestDeadlineEndsTheExchange checks that an exchange waits for no answer that arrives after
+// its deadline. One that has arrived by then is read (TestRunningRequestsOutlastASilence).
+func TestDeadlineEndsTheExchange(t *testing.T) {
+	const deadline = 300 * time.Millisecond
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	options := target.DefaultPoolOptions
+	options.Probe = false
+	pool := target.NewPoolWithOptions(listener.Addr().String(), 1, options)
+	t.Cleanup(pool.Close)
+	exchange, err := pool.Reserve(testContext(t))
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(testContext(t), deadline)
+	defer cancel()
+	began := time.Now()
+	_, err = exchange.Do(ctx, newRequest("x", "", ""), false)
+	assert.Assert(t, err != nil && time.Since(began) < testTimeout/2, "after %s: %v", time.Since(began), err)
+}
+
 // TestARequestThatWasGivenUpIsNotDeliveredLater simulates a network partition that heals:
 // the kernel has accepted the whole request, the target receives only a part of it, and
 // the exchange times out. The target must not receive the rest afterwards.
