Seed a watch from the view, not from a former watch

Cause (by reading, report of other operators on servers that had left): a VM that watched the store once keeps what it knew. When it watches again, as a new leader, Seed replaced a target only by a later process. A target that had left in the meantime was in service again until the list came, and, if the store had just been away, for up to 2.3 s after it, since a missing entry may reappear. A target whose removal that watch had seen was not marked again when it was removed once more. Change: the targets and evacuations of the view replace those of the former watch. Before: TestLaterWatchBelievesTheViewNotTheFormerWatch failed in both cases. After: it passes.

--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -112,23 +112,33 @@
 // configuration is known.
 func (o *Observer) Complete() bool { return len(o.listed) == 3 && o.fleetConfig != nil }
 
-// Seed merges the declarations that another VM has reported. It is called before
-// Start.
+// Seed takes over the declarations in a view. It is called before Start. The targets of
+// the view replace those of a former watch, which may have left since; only a later
+// process of a target is kept.
 func (o *Observer) Seed(view *fleet.View) {
 	if view.Config != nil && (o.fleetConfig == nil || view.Config.Version > o.fleetConfig.Version) {
 		o.fleetConfig = view.Config
 	}
-	for id, t := range view.Targets {
-		if known := o.targets[id]; known == nil || known.Born < t.Born {
-			copied := *t
-			o.targets[id] = &copied
-		}
+	if view.Targets != nil {
+		o.seedTargets(view.Targets)
+		clear(o.evacuated)
 	}
 	for domain := range view.Evacuated {
 		o.evacuated[domain] = true
 	}
 }
 
+func (o *Observer) seedTargets(targets map[string]*fleet.Target) {
+	maps.DeleteFunc(o.targets, func(id string, _ *fleet.Target) bool { return targets[id] == nil })
+	maps.DeleteFunc(o.removedAt, func(id string, _ time.Time) bool { return targets[id] == nil || !targets[id].Leaving })
+	for id, t := range targets {
+		if known := o.targets[id]; known == nil || known.Born <= t.Born {
+			copied := *t
+			o.targets[id] = &copied
+		}
+	}
+}
+
 // Start begins to watch. storeFailedAt is when a call of this VM to the store last
 // failed, zero if none has; entries that went missing then may still reappear. An
 // outage seen before the last Stop is disregarded: it says nothing about the store
--- a/internal/process/observer/observer_test.go
+++ b/internal/process/observer/observer_test.go
@@ -178,6 +178,41 @@
 	return cold
 }
 
+// TestLaterWatchBelievesTheViewNotTheFormerWatch checks that what a former watch knew does
+// not bring back a target that has left meanwhile, although the store has just been away, so
+// that its missing entry could reappear.
+func TestLaterWatchBelievesTheViewNotTheFormerWatch(t *testing.T) {
+	for name, seen := range map[string]map[string]*fleet.Target{
+		"leaving":   {"t0": {Life: fleet.Life{ID: "t0", Born: 1}}, "t1": {Life: fleet.Life{ID: "t1", Born: 1}, Leaving: true}},
+		"forgotten": {"t0": {Life: fleet.Life{ID: "t0", Born: 1}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newFixture(t)
+				_, err := o.store.Put(t.Context(), "targets/t1", []byte("t1"), store.Absent)
+				assert.NilError(t, err)
+				o.watch(t, time.Time{}, time.Second)
+				assert.Assert(t, !o.isLeaving("t1"))
+				o.config.Loop.Call(o.Stop)
+				present, err := o.store.Get(t.Context(), "targets/t1")
+				assert.NilError(t, err)
+				assert.NilError(t, o.store.Delete(t.Context(), "targets/t1", present.Version))
+				time.Sleep(5 * time.Second)
+				o.config.Loop.Call(func() {
+					o.Seed(&fleet.View{Targets: seen})
+					o.Start(t.Context(), time.Now())
+				})
+				time.Sleep(time.Second)
+				o.config.Loop.Call(func() {
+					known := o.Targets()["t1"]
+					assert.Assert(t, known == nil || known.Leaving)
+				})
+				o.config.Loop.Call(o.Stop)
+			})
+		})
+	}
+}
+
 // TestEntryThatPanicsIsSkipped checks that an entry on which the decoder panics costs only
 // itself, in a list and in a watch.
 func TestEntryThatPanicsIsSkipped(t *testing.T) {
