Learn no idle limit from targets that reset connections when full

Cause: a reset at the first use of a kept connection was taken for a connection that the target had dropped for being idle. Targets of some services reset connections when they are full. Two such resets made all VMs' pools of the service close what had been idle for 20 ms and more, for 10 s: each request opened a connection, and new connections hold slots and count against the targets' limit. Change: a target that has reset a connection which had not been idle, within 2 s, teaches nothing by its other resets. Before: TestResetsOfAFullTargetTeachNoIdleLimit failed, 20 connections for 20 requests. After: passes; TestIdleTimeIsLearnt as before.

--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -120,7 +120,7 @@
 	response, err := r.readMatchingHead(request)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNRESET) {
-			r.pool.options.IdleLimit.recordDrop(r.connection.idleFor, time.Now())
+			r.pool.options.IdleLimit.recordReset(r.pool, r.connection.idleFor, time.Now())
 		}
 		return nil, r.sender.exchangeError(err)
 	}
--- a/internal/connection/target/idle_test.go
+++ b/internal/connection/target/idle_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,3 +71,61 @@
 	}
 	assert.Assert(t, first.Open() <= 2, "%d connections are open", first.Open())
 }
+
+// TestResetsOfAFullTargetTeachNoIdleLimit checks that targets which reset connections while
+// they are full, kept and new ones, do not make every later request open a connection.
+func TestResetsOfAFullTargetTeachNoIdleLimit(t *testing.T) {
+	const pause, rounds = 50 * time.Millisecond, 10
+	var full atomic.Bool
+	var opened atomic.Int64
+	options := target.DefaultPoolOptions
+	options.Probe, options.IdleLimit = false, &target.IdleLimit{}
+	var pools []*target.Pool
+	for range 2 {
+		pool := target.NewPoolWithOptions(rawserver.Listen(t, func(socket *net.TCPConn) {
+			opened.Add(1)
+			serveUnlessFull(socket, &full)
+		}), 4, options)
+		defer pool.Close()
+		pools = append(pools, pool)
+	}
+	send := func(rounds int) (lost int) {
+		for i := range rounds {
+			for _, pool := range pools {
+				if _, _, err := exchangeOnce(context.Background(), t, pool, newRequest(fmt.Sprint(i), "", "")); err != nil {
+					lost++
+				}
+			}
+			time.Sleep(pause)
+		}
+		return lost
+	}
+	assert.Equal(t, send(2), 0)
+	full.Store(true)
+	assert.Equal(t, send(3), 6, "all are reset, the first two on connections that were idle")
+	full.Store(false)
+	before := opened.Load()
+	assert.Equal(t, send(rounds), 0)
+	assert.Assert(t, opened.Load()-before <= int64(len(pools)), "%d connections for %d requests", opened.Load()-before, rounds*len(pools))
+}
+
+// serveUnlessFull answers requests, or resets the connection of one that arrives while the
+// target is full.
+func serveUnlessFull(socket *net.TCPConn, full *atomic.Bool) {
+	reader := bufio.NewReader(socket)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if full.Load() {
+			_ = socket.SetLinger(0)
+			return
+		}
+		_, err = fmt.Fprintf(socket, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+			target.HeaderRequestID, request.Header.Get(target.HeaderRequestID))
+		if err != nil {
+			return
+		}
+	}
+}
