Play odd entries in the soak

The entries of TestOddEntriesChangeNothing move to testutil/deployment; the soak writes and removes them while its faults run.

--- a/tests/platform/platform_test.go
+++ b/tests/platform/platform_test.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -350,19 +349,9 @@
 	former := d.Leader()
 	others := slices.DeleteFunc(slices.Clone(d.VMs), func(vm *deployment.VM) bool { return vm == former })
 	load := send(t, others, "/once/x", 20*time.Millisecond)
-	deep := json.RawMessage(strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000))
-	entry := func(address string, slots any) map[string]any {
-		return map[string]any{"address": address, "born": 1, "info": map[string]any{"service": "free", "zone": "a", "maxConcurrency": slots}}
+	for n := range deployment.OddEntries {
+		d.SetOddEntry(n)
 	}
-	inService := map[string]any{"state": "in_service", "sequence": 1, "warmupLeft": "0ms"}
-	d.Store.Set("servers", "a-deep", deep, inService)
-	d.Store.Set("servers", "b-deep-status", entry("127.0.0.1:9", 2), deep)
-	d.Store.Set("servers", "c-port", entry("127.0.0.1:99999", 2), inService)
-	d.Store.Set("servers", "d-port", entry("127.0.0.1:0", 2), inService)
-	d.Store.Set("servers", "e-slots", entry("127.0.0.1:9", json.RawMessage("1e999")), inService)
-	d.Store.Set("servers", "f-slots", entry("127.0.0.1:9", int64(1)<<40), inService)
-	d.Store.Set("servers", "g-born", json.RawMessage(`{"address":"127.0.0.1:9","born":9223372036854775807,"info":{"service":"free","zone":"a","maxConcurrency":2}}`), inService)
-	d.Store.Set("servers", "h-large", json.RawMessage(`"`+strings.Repeat("x", 1<<20)+`"`), inService)
 	time.Sleep(time.Second)
 	assert.Equal(t, former.Ended(), "")
 	former.Kill()
--- a/tests/soak/faults_test.go
+++ b/tests/soak/faults_test.go
@@ -343,6 +343,22 @@
 	}
 }
 
+// writeOddEntries writes entries of another writer among those of the servers, and removes
+// them again, until it is calm. Some stay.
+func (r *run) writeOddEntries(random *rand.Rand, calm <-chan struct{}) {
+	for {
+		select {
+		case <-calm:
+			return
+		case <-time.After(time.Duration(random.IntN(1500)) * time.Millisecond):
+		}
+		name := r.d.SetOddEntry(random.IntN(deployment.OddEntries))
+		if random.IntN(2) == 0 {
+			r.d.Store.Remove("servers", name)
+		}
+	}
+}
+
 // claim reports whether a process or link has no fault under way.
 func (r *run) claim(on string) bool {
 	r.mu.Lock()
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -160,6 +160,7 @@
 	r.series.Go(func() { r.changeHands(rand.New(rand.NewPCG(seed, 4)), moved, calm) })
 	r.series.Go(func() { r.secondSeries(rand.New(rand.NewPCG(seed, 5)), calm) })
 	r.series.Go(func() { r.configure(rand.New(rand.NewPCG(seed, 6)), calm) })
+	r.series.Go(func() { r.writeOddEntries(rand.New(rand.NewPCG(seed, 8)), calm) })
 	for range faults {
 		r.fault()
 		time.Sleep(time.Duration(100+r.random.IntN(1200)) * time.Millisecond)
