Send a request on to the next broker instead of refusing it

Cause: a VM that is asked for a permit and does not decide for the service, or not any more, refused the request as no-target. At a planned change of the leader the other VMs learn of the next one 10 to 90 ms later, and ask the former meanwhile. Ruled out: letting the former broker go on (it does not know what the next one lets run); deciding alone at once (hundreds of VMs that choose by themselves overload targets). Before: TestRequestsFollowTheBroker failed in both cases. After: it passes.

--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -35,6 +35,9 @@
 	// request number: large enough that consecutive processes of a VM do not
 	// collide, small enough for a short encoding.
 	initialNumberRange = 1 << 48
+	// viewPoll is how often a request that was sent to a VM which is not the broker checks
+	// whether this VM has learned of another one.
+	viewPoll = 5 * time.Millisecond
 	// tickInterval is the interval at which the brokers of this VM are ticked while they
 	// have requests.
 	tickInterval = 10 * time.Millisecond
@@ -146,7 +149,12 @@
 		broker := d.config.View().Brokers[r.Service]
 		switch {
 		case broker == d.config.Self:
-			return d.acquireLocal(ctx, r, d.broker, broker)
+			permit, err := d.acquireLocal(ctx, r, d.broker, broker)
+			if err == nil && permit.Refused == admission.NotBroker {
+				// The view has changed in between.
+				continue
+			}
+			return permit, err
 		case broker == "", !d.mayAsk(broker) && !d.needsBroker(broker, &r):
 			return d.acquireLocal(ctx, r, d.fallback, "")
 		}
@@ -242,6 +250,9 @@
 	for {
 		select {
 		case decision := <-answer:
+			if decision.Refused == admission.NotBroker {
+				return Permit{}, false, d.awaitOtherBroker(ctx, r.Service, broker)
+			}
 			return Permit{Decision: decision, Broker: broker}, true, nil
 		case <-ctx.Done():
 			d.endRemote(broker, admission.End{ID: r.ID, Result: admission.Canceled})
@@ -252,14 +263,37 @@
 				continue
 			}
 			d.endRemote(broker, admission.End{ID: r.ID, Result: admission.Canceled})
-			d.mu.Lock()
-			d.backoffUntil[broker] = time.Now().Add(brokerBackoff)
-			d.mu.Unlock()
+			d.backOff(broker)
 			return Permit{}, false, nil
 		}
 	}
 }
 
+// backOff makes this VM decide without a broker for a while.
+func (d *Desk) backOff(broker string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.backoffUntil[broker] = time.Now().Add(brokerBackoff)
+}
+
+// awaitOtherBroker waits until this VM knows another broker than one that does not decide
+// any more. The new leader tells all VMs one after the other, within replyTimeout as a rule;
+// after that this VM decides alone. The error is that of the context.
+func (d *Desk) awaitOtherBroker(ctx context.Context, service, former string) error {
+	for deadline := time.Now().Add(replyTimeout); d.config.View().Brokers[service] == former; {
+		if !time.Now().Before(deadline) {
+			d.backOff(former)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(viewPoll):
+		}
+	}
+	return nil
+}
+
 // isQueued reports whether a remote broker has confirmed a request as queued.
 func (d *Desk) isQueued(number uint64) bool {
 	d.mu.Lock()
--- a/internal/process/permits/desk_test.go
+++ b/internal/process/permits/desk_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,8 +78,12 @@
 
 // start starts the desk of a VM. It replaces the previous desk of the VM, if any.
 func (n *network) start(vm string, view *fleet.View) {
+	n.startWith(vm, func() *fleet.View { return view })
+}
+
+func (n *network) startWith(vm string, view func() *fleet.View) {
 	desk := permits.New(permits.Config{
-		Self: vm, Sender: sender{n, vm}, View: func() *fleet.View { return view },
+		Self: vm, Sender: sender{n, vm}, View: view,
 		Broker: admission.Config{Budget: admission.Budget{Ratio: 0.2, Allowance: 10}, ColdFactor: 1.5},
 		Alive: func(string) bool {
 			n.mu.Lock()
@@ -86,7 +91,7 @@
 			return !n.cut["broker"] && !n.brokerSilent
 		},
 	})
-	desk.Update(view)
+	desk.Update(view())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.desks[vm] = desk
@@ -281,6 +286,40 @@
 	})
 }
 
+// TestRequestsFollowTheBroker checks that a request that reaches a VM which is not the
+// broker any more is decided by the next one, as soon as its own VM knows that, or by its own
+// VM if it does not learn of one.
+func TestRequestsFollowTheBroker(t *testing.T) {
+	for name, learns := range map[string]bool{"learns of the next": true, "does not": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork()
+				next := newView()
+				next.Brokers["s"] = "next"
+				n.start("broker", next)
+				n.start("next", next)
+				var known atomic.Pointer[fleet.View]
+				known.Store(newView())
+				n.startWith("a", known.Load)
+				if learns {
+					time.AfterFunc(30*time.Millisecond, func() {
+						known.Store(next)
+						n.desks["a"].Update(next)
+					})
+				}
+				began := time.Now()
+				permit, err := n.desks["a"].Acquire(t.Context(), request())
+				assert.NilError(t, err)
+				assert.Equal(t, permit.Refused, admission.Reason(""))
+				assert.Equal(t, permit.Broker, map[bool]string{true: "next", false: ""}[learns])
+				assert.Assert(t, time.Since(began) < 100*time.Millisecond, "after %s", time.Since(began))
+				n.desks["a"].End(permit, admission.Answered, time.Millisecond, fleet.Load{}, false)
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
 // TestRequestOfAFormerProcessIsNotAnswered checks that a decision on a request of a
 // previous process of a VM does not reach a request of its next process, which would
 // then be sent to a target of another service.
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -30,6 +30,9 @@
 	NoOwner Reason = "no-owner"
 	// WouldBeLate: the request cannot be answered before its deadline.
 	WouldBeLate Reason = "would-be-late"
+	// NotBroker: this broker does not decide for the service, or not any more. The request
+	// has to be submitted to another.
+	NotBroker Reason = "not-broker"
 	// BudgetSpent: the retry budget of the service is exhausted.
 	BudgetSpent Reason = "budget-spent"
 )
@@ -219,8 +222,12 @@
 
 // Ask submits a request. The request is decided at once or queued.
 func (b *Broker) Ask(r Request, now time.Time) {
+	if b.config.Serve != nil && !b.config.Serve(r.Service) {
+		b.config.Decide(Decision{ID: r.ID, Refused: NotBroker, RetryAfter: minRetryAfter})
+		return
+	}
 	p := b.pools[r.Service]
-	if p == nil || b.config.Serve != nil && !b.config.Serve(r.Service) {
+	if p == nil {
 		b.config.Decide(Decision{ID: r.ID, Refused: NoTarget, RetryAfter: minRetryAfter})
 		return
 	}
