Refuse at once what waits for a lost owner of its key

Load: an owner of keys is lost, or silent, and its keys wait until its grants have run out, or until it accepts connections again: up to some seconds, while callers wait 0.4 to 2.5 s. Cause: the broker queued requests for such keys as if the owner were busy, and refused them when they were certainly too late, at seven eighths of their time. Ruled out: the leader's knowledge of when the grants run out (it says nothing of targets that accept no connections); a fixed limit (deadlines differ by five times). Change: a key that has been blocked for some time is expected to be so for as long again. What is too late by then is refused, waiting requests included, and told to come back after that time. A planned move takes less than one request and refuses nothing, as before.

--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -188,7 +188,7 @@
 		// Most views differ only in the owners of keys, and going through the
 		// targets is expensive: there are thousands.
 		for _, p := range b.pools {
-			p.updateOwners(view)
+			p.updateOwners(view, now)
 		}
 	} else {
 		b.updateTargets(view, now)
--- a/internal/request/admission/choice.go
+++ b/internal/request/admission/choice.go
@@ -252,6 +252,9 @@
 // queue.next). Its wait is therefore that for the whole queue, and it grows with the
 // utilisation, since later requests overtake it too.
 func (p *pool) estimateWait(q *queue, r *Request, now time.Time) (time.Duration, bool) {
+	if expected, tooLong := p.blockedTooLong(r, now); tooLong {
+		return expected, false
+	}
 	slots, holdTime := p.capacity(r, now)
 	if slots == 0 {
 		// No usable target owns the key: its slice or its owner is being moved.
--- a/internal/request/admission/pool.go
+++ b/internal/request/admission/pool.go
@@ -65,6 +65,8 @@
 	sharedQueue *queue
 	ownerQueues map[string]*queue
 	slices      []fleet.Slice
+	// blocked are the ranges of keys whose owner is not ready, sorted by key.
+	blocked []blockedRange
 	// waiting maps a waiting request to its queue.
 	waiting map[ID]*queue
 	// meanWork is the mean work of each class in seconds: the service time at a target
@@ -110,13 +112,14 @@
 		}
 	}
 	slices.SortFunc(p.sortedTargets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
-	p.updateOwners(view)
+	p.updateOwners(view, now)
 }
 
 // updateOwners applies the owners of keys in a view.
-func (p *pool) updateOwners(view *fleet.View) {
+func (p *pool) updateOwners(view *fleet.View, now time.Time) {
 	p.slices = view.Slices[p.name]
 	if p.service.Keyed {
+		p.updateBlocked(now)
 		p.requeue()
 	}
 }
@@ -414,18 +417,19 @@
 }
 
 // prune refuses the requests of a queue that would miss their deadline even if
-// they were started now.
+// they were started now, or as soon as the owner of their key is expected to take requests.
 func (p *pool) prune(q *queue, now time.Time) {
 	var tooLate []*Request
 	for _, r := range q.waiters {
 		_, holdTime := p.capacity(r, now)
-		if now.Add(max(holdTime, transitTime)).After(r.Deadline) {
+		_, tooLong := p.blockedTooLong(r, now)
+		if tooLong || now.Add(max(holdTime, transitTime)).After(r.Deadline) {
 			tooLate = append(tooLate, r)
 		}
 	}
 	for _, r := range tooLate {
 		q.remove(r)
 		delete(p.waiting, r.ID)
-		p.refuse(r, WouldBeLate, minRetryAfter, now)
+		p.refuse(r, WouldBeLate, max(p.blockedFor(r, now), minRetryAfter), now)
 	}
 }
--- a/internal/request/admission/target.go
+++ b/internal/request/admission/target.go
@@ -72,9 +72,11 @@
 	// answers again.
 	connectionRefused bool
 	// backoffUntil is the time before which no requests are sent, after
-	// connectFailures consecutive failed connections.
-	backoffUntil    time.Time
-	connectFailures int
+	// connectFailures consecutive failed connections, of which the first was at
+	// unreachableSince.
+	backoffUntil     time.Time
+	connectFailures  int
+	unreachableSince time.Time
 	// coldStarts holds when requests were recently permitted while the target is cold.
 	coldStarts []time.Time
 	// lastSent is when each VM was last permitted to send a request to the target.
@@ -157,6 +159,9 @@
 // accepted. The count of failures is limited only to keep the shift from overflowing:
 // maxConnectBackoff is reached before.
 func (t *target) backOff(now time.Time) {
+	if t.connectFailures == 0 {
+		t.unreachableSince = now
+	}
 	t.connectFailures = min(t.connectFailures+1, 6)
 	t.backoffUntil = now.Add(min(connectBackoff<<(t.connectFailures-1), maxConnectBackoff))
 }
