--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -55,11 +55,8 @@
 		c.publishObserved()
 	}
 	if c.checkAt.IsZero() || silentFor >= heartbeatTimeout && c.checkAt.Sub(now) > storeLostPauseMax {
-		// A check that was due far away while the leader was heard is brought forward.
-		delay := rankDelay(c.config.Self, c.view)
-		if c.checkAt.IsZero() || c.checkAt.Sub(now) > delay {
-			c.checkAt, c.checkPause = now.Add(delay), checkPauseMin
-		}
+		c.checkAt = now.Add(rankDelay(c.config.Self, c.view))
+		c.checkPause = checkPauseMin
 	}
 	if !c.checking && !now.Before(c.checkAt) {
 		c.checkLeader(now, silentFor)
