--- a/internal/process/coordinator/election.go
+++ b/internal/process/coordinator/election.go
@@ -49,14 +49,6 @@
 	// checkPauseMax also bounds the read itself.
 	checkPauseMin = 150 * time.Millisecond
 	checkPauseMax = 900 * time.Millisecond
-	// checkersPerPause is the number of VMs of successive ranks that check the record at the
-	// same pause; the next ones check it less often (see longestCheckPause).
-	checkersPerPause = 5
-	// yieldingPauseMax and storeLostPauseMax bound the pause of a VM that leaves most checks
-	// to others (see longestCheckPause): while it hears the leader, and while it does not
-	// but the store does not answer either.
-	yieldingPauseMax  = 10 * time.Second
-	storeLostPauseMax = 2 * time.Second
 )
 
 // evidence is what a VM knows about a leader whose heartbeats are missing.
@@ -123,17 +115,7 @@
 	if len(view.Members) <= 1 {
 		return startDelay(self)
 	}
-	ahead, outranked := rank(self, view)
-	delay := time.Duration(min(ahead, topRanks))*rankStep + time.Duration(max(ahead-topRanks, 0))*lowRankStep
-	if outranked {
-		delay += outrankedDelay
-	}
-	return delay
-}
-
-// rank returns the number of VMs that try to take over before this one, and whether one of
-// the others outranks it.
-func rank(self fleet.Member, view *fleet.View) (ahead int, outranked bool) {
+	ahead, outranked := 0, false
 	for vm, m := range view.Members {
 		if vm == self.VM || vm == view.Leader.VM {
 			continue
@@ -143,24 +125,11 @@
 			ahead++
 		}
 	}
-	return ahead, outranked
-}
-
-// longestCheckPause returns the longest pause between two checks of the record. If the
-// store answers nobody, hundreds of VMs would ask it all the time for a leader that they hear
-// or whose successor they will hear; a VM with many others ahead of it leaves most of that to
-// them. The sum over all VMs then grows with the logarithm of their number. heard is set
-// while the leader's heartbeats arrive, storeFailed if the store has not answered this check.
-func longestCheckPause(self fleet.Member, view *fleet.View, heard, storeFailed bool) time.Duration {
-	bound := checkPauseMax
-	switch {
-	case heard:
-		bound = yieldingPauseMax
-	case storeFailed:
-		bound = storeLostPauseMax
+	delay := time.Duration(min(ahead, topRanks))*rankStep + time.Duration(max(ahead-topRanks, 0))*lowRankStep
+	if outranked {
+		delay += outrankedDelay
 	}
-	ahead, _ := rank(self, view)
-	return min(max(time.Duration(ahead/checkersPerPause)*checkPauseMax, checkPauseMax), bound)
+	return delay
 }
 
 // startDelay is the delay of a VM that knows no others yet.
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -54,7 +54,7 @@
 	if c.observer.Watching() && c.observer.Tick(now) {
 		c.publishObserved()
 	}
-	if c.checkAt.IsZero() || silentFor >= heartbeatTimeout && c.checkAt.Sub(now) > storeLostPauseMax {
+	if c.checkAt.IsZero() {
 		c.checkAt = now.Add(rankDelay(c.config.Self, c.view))
 		c.checkPause = checkPauseMin
 	}
@@ -302,13 +302,8 @@
 func (c *Coordinator) leaderChecked(record *fleet.Record, revision int64, err error, e evidence) {
 	c.checking = false
 	now := time.Now()
-	heard := now.Sub(c.heartbeatAt) < heartbeatTimeout
-	longest := longestCheckPause(c.config.Self, c.view, heard, fault.Is(err, fault.Unavailable))
-	if longest > checkPauseMax {
-		c.checkPause = longest
-	}
 	c.checkAt = now.Add(c.checkPause)
-	c.checkPause = min(2*c.checkPause, longest)
+	c.checkPause = min(2*c.checkPause, checkPauseMax)
 	switch {
 	case c.lead != nil || c.leaving:
 	case fault.Is(err, fault.NotFound):
