--- a/internal/request/entry/retry.go
+++ b/internal/request/entry/retry.go
@@ -27,13 +27,19 @@
 )
 
 // run sends the request until it is answered, its outcome is unknown, or
-// nothing more may be tried. There is one attempt at a time.
+// nothing more may be tried. There is one attempt at a time. If the deadline passes
+// between two attempts, the reason why the former one was not run is the result.
 func (x *exchange) run() result {
 	x.state.retries.earn(retryPercent(x.service.Declared))
 	history := &history{}
 	defer x.endRepair(history)
+	var former result
 	for {
 		d, r := x.next(history)
+		if former.kind == outcome.NotRun && r.kind == outcome.NotRun && r.reason == outcome.DeadlinePassed {
+			return former
+		}
+		former = r
 		if r.kind != outcome.NotRun || !x.body.replayable() || !x.again(history, d, r) {
 			return r
 		}
--- a/internal/request/entry/retry_test.go
+++ b/internal/request/entry/retry_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/outcome"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/routing"
 )
 
 func TestBackupIsTriedWhenTheDispatcherIsUnreachable(t *testing.T) {
@@ -60,6 +61,25 @@
 	assert.Equal(t, got.status, 503)
 }
 
+// TestDeadlineBetweenTwoAttempts: the caller learns why its request was not run, also if the
+// deadline passes while the next attempt is prepared.
+func TestDeadlineBetweenTwoAttempts(t *testing.T) {
+	b := newBench(t, senderFunc(func(_ context.Context, vm string, _ *peerv1.Request, _ io.Reader) (*peerv1.Response, io.ReadCloser, error) {
+		return notSent(vm)
+	}), bookingService())
+	const deadline = 100 * time.Millisecond
+	var snapshots atomic.Int32
+	b.handler.config.Snapshot = func() *routing.Snapshot {
+		if snapshots.Add(1) == 2 {
+			time.Sleep(2 * deadline)
+		}
+		return b.snapshot.Load()
+	}
+	got := b.send(t, "POST", "/booking", nil, func(r *http.Request) { r.Header.Set(DeadlineHeader, "100") })
+	assert.Equal(t, got.outcome(), "not-run")
+	assert.Equal(t, got.reason(), string(outcome.PeerUnreachable))
+}
+
 func TestRepairWaitsAreBounded(t *testing.T) {
 	b := newBench(t, senderFunc(func(_ context.Context, vm string, _ *peerv1.Request, _ io.Reader) (*peerv1.Response, io.ReadCloser, error) {
 		return notSent(vm)
