Publish VMs that join and owners of keys together

Change: VMs that join are published each 50 ms and then sent the list, owners of keys at most each 10 ms, the first at once. Ruled out: a delay for the first push to a VM that joins; lists of VMs left to the next report (TestLargeVMLeads: a small VM led, since nobody knew the large ones yet).

--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -328,6 +328,35 @@
 	})
 }
 
+// TestViewsArePublishedTogether: while hundreds of VMs report for the first time and hundreds
+// of targets take their first grants, the leader publishes few views: its broker goes through
+// all waiting requests for each, with the processor that the leader needs for its heartbeats.
+func TestViewsArePublishedTogether(t *testing.T) {
+	const (
+		vms, targets = 300, 400
+		window       = 100 * time.Millisecond
+		// One of the owners of keys each 10 ms, of the VMs each 50 ms, of the targets each
+		// 30 ms, and some for the declarations.
+		most = 20
+	)
+	run(t, seed.Value, 0, targets, func(w *world) {
+		for i := range vms {
+			w.startNode(fmt.Sprintf("n%d", i))
+		}
+		w.servedWithin(5 * time.Second)
+		name, _ := w.leader()
+		leader := w.nodes[name]
+		leader.mu.Lock()
+		defer leader.mu.Unlock()
+		busiest := 0
+		for i, at := range leader.published {
+			first, _ := slices.BinarySearchFunc(leader.published, at.Add(-window), time.Time.Compare)
+			busiest = max(busiest, i-first)
+		}
+		w.check(busiest <= most, "%d views within %s, %d in all", busiest, window, len(leader.published))
+	})
+}
+
 // TestTargetStartsAgainUnderItsName: after a target's restart its former incarnation holds
 // no keys, and the new one gets keys with higher fences.
 func TestTargetStartsAgainUnderItsName(t *testing.T) {
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -36,6 +36,9 @@
 	// Without the store, the leader is confirmed by the reports of VMs, which are usually
 	// up to this old.
 	maxConfirmationIntervals = 2
+	// slicesInterval is the minimum time between two views that follow from results of
+	// orders: no longer than the interval at which the broker looks at what waits.
+	slicesInterval = 10 * time.Millisecond
 	// targetsInterval is the minimum time between two views in which targets that are
 	// assumed to be cold have changed. A new leader assumes it of all owners of keys one
 	// after the other, and a view with other targets is expensive.
@@ -322,23 +325,30 @@
 }
 
 // publishSlicesSoon publishes the owners of keys and sends the orders that are due, after
-// the results that are already queued on the loop. Many moves complete together, and for
-// each view the broker examines all waiting requests.
+// the results that are already queued on the loop and at most once each slicesInterval. Many
+// moves complete together, and for each view the broker examines all waiting requests.
 func (c *Coordinator) publishSlicesSoon() {
 	l := c.lead
 	if l.slicesPending {
 		return
 	}
 	l.slicesPending = true
-	c.config.Loop.Post(func() {
+	publish := func() {
 		l.slicesPending = false
 		if c.lead != l {
 			return
 		}
-		c.publishAssumed(time.Now())
+		now := time.Now()
+		l.slicesPublishedAt = now
+		c.publishAssumed(now)
 		c.publishSlices()
-		c.sendDueOrders(time.Now())
-	})
+		c.sendDueOrders(now)
+	}
+	if pause := slicesInterval - time.Since(l.slicesPublishedAt); pause > 0 {
+		time.AfterFunc(pause, func() { c.config.Loop.Post(publish) })
+		return
+	}
+	c.config.Loop.Post(publish)
 }
 
 // assumeRestarted handles signs that another process of a target may have taken its place.
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -89,11 +89,13 @@
 
 	// declarationsChanged is set if there are declarations to publish.
 	declarationsChanged bool
-	// slicesPending is set while publishing the owners of keys waits on the loop,
-	// targetsPending if the targets are to be published as well.
-	// targetsPublishedAt is when they last were.
-	slicesPending, targetsPending bool
-	targetsPublishedAt            time.Time
+	// slicesPending is set while publishing the owners of keys is due, targetsPending if the
+	// targets are to be published as well. slicesPublishedAt and targetsPublishedAt are when
+	// they last were.
+	slicesPending, targetsPending         bool
+	slicesPublishedAt, targetsPublishedAt time.Time
+	// joined are the VMs that have joined since the members were last published for some.
+	joined []*member
 	// pushAt is when pending changes are sent to the other VMs; zero if there are
 	// none.
 	pushAt time.Time
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -15,6 +15,10 @@
 // missed behind them.
 const listLinkTime = 100 * time.Millisecond
 
+// membersPause is how long VMs that report for the first time wait until they are published
+// as members. Their reports are answered at once.
+const membersPause = 50 * time.Millisecond
+
 // member is what the leader knows about another VM.
 type member struct {
 	fleet.Member
@@ -195,9 +199,9 @@
 		m = &member{Member: fleet.Member{
 			VM: sender.VM, Incarnation: sender.Incarnation, Address: report.Address, Processor: report.ProcessorMillis,
 			FailureDomain: report.FailureDomain,
-		}, joinedAt: now}
+		}, joinedAt: now, detailsSentAt: now}
 		l.members[sender.VM] = m
-		c.publishMembers()
+		c.publishMembersSoon(m)
 	}
 	m.reportedAt, m.term = now, report.Term
 	if report.Term == l.record.Term {
@@ -210,6 +214,33 @@
 	c.push(m, now)
 }
 
+// publishMembersSoon publishes the members after membersPause, with all VMs that report for
+// the first time until then: hundreds do when a whole fleet starts. These are sent the list
+// at once.
+func (c *Coordinator) publishMembersSoon(joined *member) {
+	l := c.lead
+	l.joined = append(l.joined, joined)
+	if len(l.joined) > 1 {
+		return
+	}
+	time.AfterFunc(membersPause, func() {
+		c.config.Loop.Post(func() {
+			if c.lead != l {
+				return
+			}
+			c.publishMembers()
+			now := time.Now()
+			for _, m := range l.joined {
+				if l.members[m.VM] == m {
+					m.detailsSentAt = time.Time{}
+					c.push(m, now)
+				}
+			}
+			l.joined = nil
+		})
+	})
+}
+
 // publishMembers publishes the members. Other VMs get them with the next heartbeats.
 func (c *Coordinator) publishMembers() {
 	l := c.lead
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -102,7 +102,9 @@
 	loop        *loop.Loop
 	coordinator *coordinator.Coordinator
 	view        *fleet.View
-	mu          sync.Mutex
+	// published are the times at which the node published a view.
+	published []time.Time
+	mu        sync.Mutex
 	// acceptedBy are the processes that accepted a fence from this node; guarded by
 	// world.mu.
 	acceptedBy map[uint64]*fakeTarget
@@ -230,6 +232,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.view = view
+	n.published = append(n.published, time.Now())
 }
 
 func (n *node) observe(_, id string) (admission.Observation, bool) {
