--- a/internal/process/permits/doubt.go
+++ b/internal/process/permits/doubt.go
@@ -16,7 +16,8 @@
 type doubts map[fleet.Life]time.Time
 
 // mayHaveEnded reports whether the result of a request leaves open whether the target's
-// process still runs. An answer of any kind shows that it does.
+// process still runs. An answer shows that it does, except that the target does not own the
+// key: the next process does not either.
 func mayHaveEnded(result admission.Result) bool {
 	switch result {
 	case admission.Broken, admission.Refused, admission.Unreachable, admission.Timeout, admission.NotOwner:
--- a/internal/request/admission/pool.go
+++ b/internal/request/admission/pool.go
@@ -419,6 +419,8 @@
 	}
 }
 
+// tickQueue starts the requests of a queue that can run now and refuses those that are too
+// late.
 func (p *pool) tickQueue(q *queue, now time.Time) {
 	if len(q.waiters) == 0 {
 		return
