Let tests of the platform share what starts and loads a deployment

Three tests of this change wrote start, send and the count of runs again, and one test file reserved its connection twice in the same words. No assertion, bound or load differs; the server beside the one at a place has another id.

--- a/internal/connection/target/giveup_test.go
+++ b/internal/connection/target/giveup_test.go
@@ -20,6 +20,17 @@
 // bytes.
 const receiveBufferBytes = 4 << 10
 
+// reserveUnprobed reserves the one connection of a pool to a target that answers no probe.
+func reserveUnprobed(t *testing.T, listener net.Listener) *target.Exchange {
+	options := target.DefaultPoolOptions
+	options.Probe = false
+	pool := target.NewPoolWithOptions(listener.Addr().String(), 1, options)
+	t.Cleanup(pool.Close)
+	exchange, err := pool.Reserve(testContext(t))
+	assert.NilError(t, err)
+	return exchange
+}
+
 // TestDeadlineEndsTheExchange checks that an exchange waits for no answer that arrives after
 // its deadline. One that has arrived by then is read (TestRunningRequestsOutlastASilence).
 func TestDeadlineEndsTheExchange(t *testing.T) {
@@ -27,12 +38,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer listener.Close()
-	options := target.DefaultPoolOptions
-	options.Probe = false
-	pool := target.NewPoolWithOptions(listener.Addr().String(), 1, options)
-	t.Cleanup(pool.Close)
-	exchange, err := pool.Reserve(testContext(t))
-	assert.NilError(t, err)
+	exchange := reserveUnprobed(t, listener)
 	ctx, cancel := context.WithTimeout(testContext(t), deadline)
 	defer cancel()
 	began := time.Now()
@@ -54,12 +60,7 @@
 	listener, err := config.Listen(testContext(t), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer listener.Close()
-	options := target.DefaultPoolOptions
-	options.Probe = false
-	pool := target.NewPoolWithOptions(listener.Addr().String(), 1, options)
-	t.Cleanup(pool.Close)
-	exchange, err := pool.Reserve(testContext(t))
-	assert.NilError(t, err)
+	exchange := reserveUnprobed(t, listener)
 	accepted, err := listener.Accept()
 	assert.NilError(t, err)
 	defer accepted.Close()
--- a/tests/platform/cold_test.go
+++ b/tests/platform/cold_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"sync"
 	"testing"
 	"time"
 
@@ -18,28 +17,21 @@
 // coldBound is the number of requests that a cold server may get in a second.
 const coldBound = deployment.ColdRate*3/2 + 5
 
+// callerPause is the pause of a caller between two requests.
+const callerPause = 5 * time.Millisecond
+
 // TestServerThatStartsAgainUnseenIsCold: a server starts again under its id and at its
 // address while the store answers nobody, so that no entry says that it is cold. It gets no
 // more than a cold server may, and serves once it holds its keys again.
 func TestServerThatStartsAgainUnseenIsCold(t *testing.T) {
 	const cold = 3 * time.Second
-	settings := fencetarget.Settings{Work: 10 * time.Millisecond, Slots: 4}
-	d := deployment.New(t)
-	place := d.NewPlace("place")
-	d.AddTargetAt(place, "keyed-0", "keyed", settings)
-	d.AddTarget("free-0", "free", settings)
-	for range 3 {
-		d.AddVM()
-	}
-	d.WaitReady(startBound)
-	stop := sendKeyed(t, d)
-	defer stop()
+	d, place, _ := startAtPlace(t, 3, "free")
+	defer send(t, slices.Repeat(d.VMs, 4), "/keyed/x", callerPause).end()
 	time.Sleep(time.Second)
 	for round := range 3 {
 		d.Store.SetFaults(platformstub.Faults{Status: http.StatusServiceUnavailable})
 		time.Sleep(1500 * time.Millisecond)
-		settings.ColdFor = cold
-		next := d.AddTargetAt(place, "keyed-0", "keyed", settings)
+		next := d.AddTargetAt(place, "keyed-0", "keyed", placedSettings(cold))
 		time.Sleep(cold)
 		arrivals := next.Arrivals()
 		d.Store.SetFaults(platformstub.Faults{})
@@ -62,25 +54,15 @@
 		silent = 1500 * time.Millisecond
 		dead   = 200 * time.Millisecond
 	)
-	settings := fencetarget.Settings{Work: 10 * time.Millisecond, Slots: 4}
-	d := deployment.New(t)
-	place := d.NewPlace("place")
-	former := d.AddTargetAt(place, "keyed-0", "keyed", settings)
-	d.AddTarget("keyed-1", "keyed", settings)
-	for range 4 {
-		d.AddVM()
-	}
-	d.WaitReady(startBound)
-	stop := sendKeyed(t, d)
-	defer stop()
+	d, place, former := startAtPlace(t, 4, "keyed")
+	defer send(t, slices.Repeat(d.VMs, 4), "/keyed/x", callerPause).end()
 	time.Sleep(time.Second)
 	place.Silence()
 	time.Sleep(silent)
 	leader := d.Leader()
 	leader.Kill()
 	time.Sleep(dead)
-	settings.ColdFor = cold
-	next := d.AddTargetAt(place, "keyed-0", "keyed", settings)
+	next := d.AddTargetAt(place, "keyed-0", "keyed", placedSettings(cold))
 	for _, take := range former.Takes() {
 		next.Deliver(take, cold)
 	}
@@ -91,25 +73,22 @@
 	assert.Assert(t, len(next.Arrivals()) > 0, "the server got no requests")
 }
 
-// sendKeyed sends requests with keys to all VMs until the result is called.
-func sendKeyed(t *testing.T, d *deployment.Deployment) (stop func()) {
-	ended := make(chan struct{})
-	var done sync.WaitGroup
-	for i := range 4 * len(d.VMs) {
-		done.Go(func() {
-			caller := d.VMs[i%len(d.VMs)].Caller()
-			defer caller.Close()
-			for key := i; ; key++ {
-				select {
-				case <-ended:
-					return
-				case <-time.After(5 * time.Millisecond):
-				}
-				caller.Send(t.Context(), http.MethodGet, "/keyed/x", key*deployment.KeyStep%65536, nil)
-			}
-		})
+// startAtPlace runs VMs with keyed-0 at a place and one more server, other-0, of a service.
+func startAtPlace(t *testing.T, vms int, service string) (*deployment.Deployment, *deployment.Place, *deployment.Target) {
+	d := deployment.New(t)
+	place := d.NewPlace("place")
+	first := d.AddTargetAt(place, "keyed-0", "keyed", placedSettings(0))
+	d.AddTarget("other-0", service, placedSettings(0))
+	for range vms {
+		d.AddVM()
 	}
-	return func() { close(ended); done.Wait() }
+	d.WaitReady(startBound)
+	return d, place, first
+}
+
+// placedSettings returns the settings of a server that is cold for a time after its start.
+func placedSettings(cold time.Duration) fencetarget.Settings {
+	return fencetarget.Settings{Work: 10 * time.Millisecond, Slots: 4, ColdFor: cold}
 }
 
 // checkSpared checks that a server that is cold got no more requests than it bears.
--- a/tests/platform/platform_test.go
+++ b/tests/platform/platform_test.go
@@ -41,11 +41,20 @@
 	idleBound = 10 * time.Second
 )
 
-// start runs some VMs with three servers of each service.
+// serversEach is the number of servers of each service that start runs.
+const serversEach = 3
+
+// start runs some VMs with servers of each service.
 func start(t *testing.T, vms int) *deployment.Deployment {
+	return startWorking(t, vms, 20*time.Millisecond)
+}
+
+// startWorking is like start, with servers of the free service that work for a time on each
+// request.
+func startWorking(t *testing.T, vms int, work time.Duration) *deployment.Deployment {
 	d := deployment.New(t)
-	for i := range 3 {
-		d.AddTarget(fmt.Sprintf("free-%d", i), "free", fencetarget.Settings{Work: 20 * time.Millisecond})
+	for i := range serversEach {
+		d.AddTarget(fmt.Sprintf("free-%d", i), "free", fencetarget.Settings{Work: work})
 		d.AddTarget(fmt.Sprintf("keyed-%d", i), "keyed", fencetarget.Settings{Work: 10 * time.Millisecond})
 	}
 	for range vms {
@@ -55,6 +64,17 @@
 	return d
 }
 
+// freeRuns returns how often the servers of the free service ran each request.
+func freeRuns(d *deployment.Deployment) map[string]int {
+	runs := map[string]int{}
+	for i := range serversEach {
+		for _, run := range d.Target(fmt.Sprintf("free-%d", i)).Runs() {
+			runs[run.Attempt]++
+		}
+	}
+	return runs
+}
+
 // traffic sends requests to VMs until it is stopped.
 type traffic struct {
 	mu      sync.Mutex
--- a/tests/platform/silence_test.go
+++ b/tests/platform/silence_test.go
@@ -11,7 +11,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/testutil/deployment"
-	"github.com/chestnutcourse/chestnutcourse/internal/testutil/fencetarget"
 )
 
 // TestRunningRequestsOutlastASilence: a VM, or the leader that permits the requests of all,
@@ -24,15 +23,7 @@
 	const silence = 5 * time.Second
 	for _, leaderIsSilent := range []bool{true, false} {
 		t.Run(fmt.Sprintf("leader %v", leaderIsSilent), func(t *testing.T) {
-			d := deployment.New(t)
-			for i := range 3 {
-				d.AddTarget(fmt.Sprintf("free-%d", i), "free", fencetarget.Settings{Work: 1500 * time.Millisecond})
-				d.AddTarget(fmt.Sprintf("keyed-%d", i), "keyed", fencetarget.Settings{Work: 10 * time.Millisecond})
-			}
-			for range 3 {
-				d.AddVM()
-			}
-			d.WaitReady(startBound)
+			d := startWorking(t, 3, 1500*time.Millisecond)
 			leader := d.Leader()
 			silent, entry := leader, d.VMs[0]
 			for _, vm := range d.VMs {
@@ -61,12 +52,7 @@
 			time.Sleep(silence)
 			silent.Thaw()
 			callers.Wait()
-			runs := map[string]int{}
-			for i := range 3 {
-				for _, run := range d.Target(fmt.Sprintf("free-%d", i)).Runs() {
-					runs[run.Attempt]++
-				}
-			}
+			runs := freeRuns(d)
 			assert.Equal(t, len(runs), 6)
 			for _, r := range results {
 				assert.NilError(t, r.Err)
--- a/tests/platform/stop_test.go
+++ b/tests/platform/stop_test.go
@@ -14,7 +14,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/testutil/deployment"
-	"github.com/chestnutcourse/chestnutcourse/internal/testutil/fencetarget"
 )
 
 // pipeliner sends requests on one connection without a pause, whether or not the former
@@ -117,15 +116,7 @@
 }
 
 func stopUnderPipelining(t *testing.T, copies int) {
-	d := deployment.New(t)
-	for i := range 3 {
-		d.AddTarget(fmt.Sprintf("free-%d", i), "free", fencetarget.Settings{Work: 150 * time.Millisecond})
-		d.AddTarget(fmt.Sprintf("keyed-%d", i), "keyed", fencetarget.Settings{Work: 10 * time.Millisecond})
-	}
-	for range 2 {
-		d.AddVM()
-	}
-	d.WaitReady(startBound)
+	d := startWorking(t, 2, 150*time.Millisecond)
 	vm := d.VMs[0]
 	var all []*pipeliner
 	add := func(p *pipeliner) {
@@ -160,12 +151,7 @@
 	done.Wait()
 	assert.Assert(t, ended.Load())
 	t.Logf("the process ended after %s", time.Since(stopping))
-	ran := map[string]int{}
-	for i := range 3 {
-		for _, run := range d.Target(fmt.Sprintf("free-%d", i)).Runs() {
-			ran[run.Attempt]++
-		}
-	}
+	ran := freeRuns(d)
 	for _, p := range all {
 		t.Logf("%s: %d sent, %v", p.name, len(p.sent), p.statuses)
 		late := 0
