--- a/internal/process/controller/cell.go
+++ b/internal/process/controller/cell.go
@@ -126,11 +126,9 @@
 		return
 	}
 	c.planned = true
-	time.AfterFunc(progressDelay, func() {
-		c.owner.config.Loop.Post(func() {
-			c.planned = false
-			c.plan()
-		})
+	c.owner.config.Loop.PostAfter(progressDelay, func() {
+		c.planned = false
+		c.plan()
 	})
 }
 
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -333,7 +333,7 @@
 		return
 	}
 	l.slicesPending = true
-	publish := func() {
+	c.config.Loop.PostAfter(slicesInterval-time.Since(l.slicesPublishedAt), func() {
 		l.slicesPending = false
 		if c.lead != l {
 			return
@@ -343,12 +343,7 @@
 		c.publishAssumed(now)
 		c.publishSlices()
 		c.sendDueOrders(now)
-	}
-	if pause := slicesInterval - time.Since(l.slicesPublishedAt); pause > 0 {
-		time.AfterFunc(pause, func() { c.config.Loop.Post(publish) })
-		return
-	}
-	c.config.Loop.Post(publish)
+	})
 }
 
 // assumeRestarted handles signs that another process of a target may have taken its place.
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -49,7 +49,7 @@
 	at := time.Now().Add(pause)
 	if c.lead.pushAt.IsZero() || at.Before(c.lead.pushAt) {
 		c.lead.pushAt = at
-		time.AfterFunc(pause, func() { c.config.Loop.Post(c.pushIfDue) })
+		c.config.Loop.PostAfter(pause, c.pushIfDue)
 	}
 }
 
@@ -223,21 +223,19 @@
 	if len(l.joined) > 1 {
 		return
 	}
-	time.AfterFunc(membersPause, func() {
-		c.config.Loop.Post(func() {
-			if c.lead != l {
-				return
-			}
-			c.publishMembers()
-			now := time.Now()
-			for _, m := range l.joined {
-				if l.members[m.VM] == m {
-					m.detailsSentAt = time.Time{}
-					c.push(m, now)
-				}
+	c.config.Loop.PostAfter(membersPause, func() {
+		if c.lead != l {
+			return
+		}
+		c.publishMembers()
+		now := time.Now()
+		for _, m := range l.joined {
+			if l.members[m.VM] == m {
+				m.detailsSentAt = time.Time{}
+				c.push(m, now)
 			}
-			l.joined = nil
-		})
+		}
+		l.joined = nil
 	})
 }
 
--- a/internal/process/loop/loop.go
+++ b/internal/process/loop/loop.go
@@ -42,6 +42,15 @@
 	}
 }
 
+// PostAfter posts a function after a pause, at once if there is none.
+func (l *Loop) PostAfter(pause time.Duration, f func()) {
+	if pause <= 0 {
+		l.Post(f)
+		return
+	}
+	time.AfterFunc(pause, func() { l.Post(f) })
+}
+
 // Call runs a function on the loop and waits for it. It reports false if the
 // loop has ended. A posted function must not use Call, which would deadlock.
 func (l *Loop) Call(f func()) bool {
--- a/internal/process/loop/loop_test.go
+++ b/internal/process/loop/loop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -37,6 +38,21 @@
 	<-done
 }
 
+func TestPostAfterWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, cancel := startLoop(t)
+		defer cancel()
+		began := time.Now()
+		ran := map[time.Duration]time.Duration{}
+		for _, pause := range []time.Duration{time.Second, 0, -time.Second} {
+			l.PostAfter(pause, func() { ran[pause] = time.Since(began) })
+		}
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, l.Call(func() {}))
+		assert.DeepEqual(t, ran, map[time.Duration]time.Duration{time.Second: time.Second, 0: 0, -time.Second: 0})
+	})
+}
+
 func TestCallReportsTheEndOfTheLoop(t *testing.T) {
 	l, cancel := startLoop(t)
 	cancel()
--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -210,7 +210,7 @@
 		return
 	}
 	o.confirming, o.askAgain = true, false
-	time.AfterFunc(confirmPause, func() { o.config.Loop.Post(o.readAssumed) })
+	o.config.Loop.PostAfter(confirmPause, o.readAssumed)
 }
 
 // readAssumed reads the entries of the targets that are assumed to be cold.
