Publish owners of keys and targets assumed to be cold in one view

Cause: two views followed one another within one function, and the broker goes through all waiting requests for each. Change: publishSlices carries the assumed targets along when they are due; the tick still publishes them alone. They are known to the broker no later than before.

--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -228,7 +228,8 @@
 	}
 }
 
-// publishSlices publishes the current owners of keys.
+// publishSlices publishes the current owners of keys, and the targets that are assumed to be
+// cold if that is due: the broker has to spare them before they are granted keys.
 func (c *Coordinator) publishSlices() {
 	l := c.lead
 	view := *c.view
@@ -237,6 +238,7 @@
 		view.Slices[service] = append([]fleet.Slice(nil), list...)
 	}
 	l.parts.setSlices(view.Slices)
+	c.addAssumed(&view, time.Now())
 	c.publish(&view)
 }
 
@@ -338,11 +340,9 @@
 		if c.lead != l {
 			return
 		}
-		now := time.Now()
-		l.slicesPublishedAt = now
-		c.publishAssumed(now)
+		l.slicesPublishedAt = time.Now()
 		c.publishSlices()
-		c.sendDueOrders(now)
+		c.sendDueOrders(time.Now())
 	})
 }
 
@@ -361,14 +361,22 @@
 // publishAssumed shows the targets that are assumed to be cold to this VM's broker, which
 // has to spare them. The other VMs need not know: all permits come from there.
 func (c *Coordinator) publishAssumed(now time.Time) {
+	view := *c.view
+	if c.addAssumed(&view, now) {
+		c.publish(&view)
+	}
+}
+
+// addAssumed sets the targets of a view to those that are known and assumed to be cold, if
+// that is due.
+func (c *Coordinator) addAssumed(view *fleet.View, now time.Time) (due bool) {
 	l := c.lead
 	if !l.targetsPending || now.Sub(l.targetsPublishedAt) < targetsInterval {
-		return
+		return false
 	}
 	l.targetsPending, l.targetsPublishedAt = false, now
-	view := *c.view
 	view.Targets = c.observer.Targets()
-	c.publish(&view)
+	return true
 }
 
 // logOrder logs the result of an order, except for renewals that changed nothing. newFence
