--- a/internal/request/admission/pool.go
+++ b/internal/request/admission/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -390,7 +391,7 @@
 }
 
 func (p *pool) refuseAll(reason Reason, now time.Time) {
-	for _, q := range p.queues() {
+	for q := range p.queues() {
 		for _, r := range q.waiters {
 			p.refuse(r, reason, minRetryAfter, now)
 		}
@@ -399,12 +400,17 @@
 	clear(p.waiting)
 }
 
-func (p *pool) queues() []*queue {
-	all := []*queue{p.sharedQueue}
-	for _, q := range p.ownerQueues {
-		all = append(all, q)
+func (p *pool) queues() iter.Seq[*queue] {
+	return func(yield func(*queue) bool) {
+		if !yield(p.sharedQueue) {
+			return
+		}
+		for _, q := range p.ownerQueues {
+			if !yield(q) {
+				return
+			}
+		}
 	}
-	return all
 }
 
 // tick starts waiting requests that can run now and refuses those that can no
@@ -413,21 +419,14 @@
 	if len(p.waiting) == 0 {
 		return
 	}
-	p.tickQueue(p.sharedQueue, now)
-	for _, q := range p.ownerQueues {
-		p.tickQueue(q, now)
-	}
-}
-
-// tickQueue starts the requests of a queue that can run now and refuses those that are too
-// late.
-func (p *pool) tickQueue(q *queue, now time.Time) {
-	if len(q.waiters) == 0 {
-		return
-	}
-	p.dispatch(q, now)
-	if now.Sub(q.prunedAt) >= pruneInterval {
-		p.prune(q, now)
+	for q := range p.queues() {
+		if len(q.waiters) == 0 {
+			continue
+		}
+		p.dispatch(q, now)
+		if now.Sub(q.prunedAt) >= pruneInterval {
+			p.prune(q, now)
+		}
 	}
 }
 
