--- a/internal/process/permits/doubt.go
+++ b/internal/process/permits/doubt.go
@@ -26,10 +26,10 @@
 	return false
 }
 
-// add records a doubt that arose at a time about a target that is cold for the given time
-// after its start.
-func (d doubts) add(life fleet.Life, arose time.Time, cold time.Duration) {
-	if until := arose.Add(cold); until.After(d[life]) {
+// add records a doubt about a target that ends at a time, and drops those that have ended.
+func (d doubts) add(life fleet.Life, until, now time.Time) {
+	maps.DeleteFunc(d, func(_ fleet.Life, until time.Time) bool { return !now.Before(until) })
+	if until.After(d[life]) {
 		d[life] = until
 	}
 }
@@ -37,11 +37,6 @@
 // about reports whether there is a doubt about a target.
 func (d doubts) about(life fleet.Life, now time.Time) bool { return now.Before(d[life]) }
 
-// prune removes the doubts that have ended.
-func (d doubts) prune(now time.Time) {
-	maps.DeleteFunc(d, func(_ fleet.Life, until time.Time) bool { return !now.Before(until) })
-}
-
 // doubt records that a target may have restarted unseen, as of the time given.
 func (d *Desk) doubt(life fleet.Life, arose time.Time) {
 	view := d.config.View()
@@ -50,10 +45,7 @@
 		return
 	}
 	if service := view.Config.Service(t.Service); service != nil {
-		d.locked(func() {
-			d.doubts.prune(time.Now())
-			d.doubts.add(life, arose, service.Cold)
-		})
+		d.locked(func() { d.doubts.add(life, arose.Add(service.Cold), time.Now()) })
 	}
 }
 
