Keep the limit of cold targets over a change of the broker

Each counts its own 14 in 1.1 s, and 21 a second are allowed. The fault is older than this change. Ruled out: the views that are published together (the target's entry had arrived, and each broker kept its own limit); handing the times over (the former broker may be gone). Before: TestNextBrokerCountsTheFormerOne failed, 28 in a second, after: passed.

--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -160,7 +160,10 @@
 type Broker struct {
 	config Config
 	view   *fleet.View
-	pools  map[string]*pool
+	// termSince is when this broker first had a view of the present term. Until then
+	// another may have decided.
+	termSince time.Time
+	pools     map[string]*pool
 	// permits holds the permits of the requests in flight.
 	permits map[ID]*permit
 }
@@ -184,6 +187,9 @@
 func (b *Broker) Update(view *fleet.View, now time.Time) {
 	previous := b.view
 	b.view = view
+	if previous == nil && view.Term > 0 || previous != nil && previous.Term != view.Term {
+		b.termSince = now
+	}
 	if view.Config == nil {
 		return
 	}
--- a/internal/request/admission/load_test.go
+++ b/internal/request/admission/load_test.go
@@ -156,6 +156,53 @@
 	}
 }
 
+// TestNextBrokerCountsTheFormerOne checks that a cold target gets no more requests in a
+// second than its limit, also while another broker takes over.
+func TestNextBrokerCountsTheFormerOne(t *testing.T) {
+	const (
+		interval = 10 * time.Millisecond
+		limit    = 11*3/2 + 5
+	)
+	config := defaultConfig()
+	began := time.Unix(1700000000, 0)
+	for _, takenOver := range []time.Duration{500 * time.Millisecond, time.Second, 1200 * time.Millisecond, 2 * time.Second} {
+		var starts []time.Time
+		now, sent := began, 0
+		broker := func(term uint64, since time.Time) *admission.Broker {
+			config.Decide = func(d admission.Decision) {
+				if d.Refused == "" {
+					starts = append(starts, now)
+				}
+			}
+			view := *withCold(fleetOf(fleet.Service{Name: "s", ColdRate: 11}, 1), began.Add(5*time.Second), "t0")
+			view.Term = term
+			view.Targets["t0"].Slots = 1000
+			b := admission.New(config)
+			b.Update(&view, since)
+			return b
+		}
+		present := broker(1, began.Add(-10*time.Second))
+		for ; now.Before(began.Add(4 * time.Second)); now = now.Add(interval) {
+			if now.Sub(began) == takenOver {
+				present = broker(2, now)
+			}
+			sent++
+			id := admission.ID{VM: "a", Number: uint64(sent)}
+			present.Ask(admission.Request{ID: id, Service: "s", Class: "c", Aim: now.Add(interval), Deadline: now.Add(interval)}, now)
+			present.Tick(now.Add(interval))
+		}
+		most, last := 0, 0
+		for i, at := range starts {
+			for at.Sub(starts[last]) >= time.Second {
+				last++
+			}
+			most = max(most, i-last+1)
+		}
+		assert.Assert(t, most <= limit, "taken over after %s: %d requests within a second", takenOver, most)
+		assert.Assert(t, most > 10, "taken over after %s: only %d requests within a second", takenOver, most)
+	}
+}
+
 // TestCautiousBrokerSparesColdTargets checks that a broker that does not see the
 // requests of other VMs sends nothing to cold targets.
 func TestCautiousBrokerSparesColdTargets(t *testing.T) {
