--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -5,7 +5,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -205,22 +204,3 @@
 		}
 	}
 }
-
-// leader returns the daemon that the record names, or nil.
-func (d *deployment) leader() *vm {
-	o, ok := d.store.Get("chestnutcourse", "record")
-	var named struct {
-		Leader struct {
-			VM string `json:"vm"`
-		} `json:"leader"`
-	}
-	if !ok || json.Unmarshal(o.Spec, &named) != nil {
-		return nil
-	}
-	for _, v := range d.vms {
-		if v.name == named.Leader.VM {
-			return v
-		}
-	}
-	return nil
-}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -10,6 +10,7 @@
 // cases are the scripts by name. Each reports whether the rule held.
 var cases = map[string]func(r *record, trouble bool) bool{
 	"upload": playUpload,
+	"owner":  playOwner,
 }
 
 // main plays a case: stand CASE RECORD. Exit code 0: the rule held; 1: it was broken; 2:
