--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -162,8 +162,8 @@
 			"coldSlack=5,evacuation=5000ms,recovery=15s,holdMax=10000ms,thaw=300ms",
 	}, "\n")
 	must(os.WriteFile(v.settings, []byte(text), 0o600))
-	d.vms = append(d.vms, v)
 	v.start(d)
+	d.vms = append(d.vms, v)
 	return v
 }
 
