--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -64,6 +64,7 @@
 	if l.leaseTable.expireReady(now) {
 		c.publishSlices()
 	}
+	c.recheckUnreachable(now)
 	if !l.writing && !now.Before(l.planAt) {
 		c.planMoves(now)
 	}
@@ -148,7 +149,8 @@
 // capacity returns the number of slots of a target, reduced if it is slow, failing or
 // cold; 0 if it must not own keys.
 func (c *Coordinator) capacity(t *fleet.Target, observed admission.Observation, now time.Time) float64 {
-	if !c.view.Usable(t) || c.lead.leaseTable.endedTargets[t.Life] {
+	lt := c.lead.leaseTable
+	if !c.view.Usable(t) || lt.endedTargets[t.Life] || lt.isUnreachable(t.Life) {
 		return 0
 	}
 	capacity := float64(t.Slots)
@@ -286,10 +288,13 @@
 	lt := c.lead.leaseTable
 	now := time.Now()
 	changed, newFence := false, uint64(0)
+	if err == nil || fault.Is(err, fault.Conflict) && !errors.Is(err, target.ErrProcessUnknown) {
+		delete(lt.unreachable, t.target)
+	}
 	switch {
 	case fault.Is(err, fault.NotFound):
-		lt.orderFailed(t, now)
-		c.checkTargetEnded(t.target)
+		lt.orderRefused(t, now)
+		c.checkTargetUnreachable(t.target)
 	case fault.Is(err, fault.Refused):
 		// Another process listens at the target's address, so the target has ended.
 		lt.orderFailed(t, now)
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -83,9 +83,9 @@
 	// outranked is set while a larger VM is asked to take over.
 	outranked bool
 
-	// endChecks are the targets for which a check whether they have ended is in
+	// reachChecks are the targets for which a check whether other VMs reach them is in
 	// flight.
-	endChecks map[fleet.Life]bool
+	reachChecks map[fleet.Life]bool
 
 	// declarationsChanged is set if there are declarations to publish.
 	declarationsChanged bool
@@ -142,7 +142,7 @@
 func newLeadership(record fleet.Record, revision int64, reserved fenceRange, formerEnded bool, view *fleet.View, hold time.Duration, now time.Time) *leadership {
 	l := &leadership{
 		record: record, revision: revision, writes: record.Write, leaseTable: newLeaseTable(record.Slices, reserved, hold),
-		members: map[string]*member{}, parts: newParts(), endChecks: map[fleet.Life]bool{},
+		members: map[string]*member{}, parts: newParts(), reachChecks: map[fleet.Life]bool{},
 		leadingSince: now, storeAnsweredAt: now, renewRecordAt: now.Add(recordRenewEvery),
 	}
 	if formerEnded {
--- a/internal/process/coordinator/leasetable.go
+++ b/internal/process/coordinator/leasetable.go
@@ -63,6 +63,10 @@
 	// endedTargets are incarnations that have ended. They get no more orders, because
 	// another incarnation at the same address would accept them.
 	endedTargets map[fleet.Life]bool
+	// unreachable maps an incarnation whose port refuses the connections of several VMs to
+	// when it may be sent the next order. It may still hold keys. Its keys move to others,
+	// and it gets one order at a time until it answers one.
+	unreachable map[fleet.Life]time.Time
 	// successors maps an incarnation that has ended to the next one of the same
 	// target. Grants that were sent to the former may have reached the latter.
 	successors map[fleet.Life]fleet.Life
@@ -137,6 +141,7 @@
 		leaseDuration: leaseDuration, fences: available,
 		slices: map[string][]fleet.Slice{}, mayHoldUntil: map[fleet.Life]time.Time{},
 		handovers: map[uint64]string{}, endedTargets: map[fleet.Life]bool{},
+		unreachable:    map[fleet.Life]time.Time{},
 		successors:     map[fleet.Life]fleet.Life{},
 		ordersInFlight: map[fleet.Life]int{}, grantedAfterEnd: map[fleet.Life]bool{}, grantsInFlight: map[fleet.Life]int{},
 		newFenceGrantedAt: map[fleet.Life]time.Time{},
@@ -219,10 +224,55 @@
 // reach only the former one.
 func (lt *leaseTable) markEnded(life fleet.Life, at time.Time) {
 	lt.endedTargets[life] = true
+	delete(lt.unreachable, life)
 	lt.grantedAfterEnd[life] = lt.grantedAfterEnd[life] || lt.newFenceGrantedAt[life].After(at)
+	lt.setNotReady(life)
+}
+
+// markUnreachable records that an incarnation of a target accepts no connections, until it
+// answers an order.
+func (lt *leaseTable) markUnreachable(life fleet.Life) {
+	if lt.endedTargets[life] {
+		return
+	}
+	lt.unreachable[life] = time.Time{}
+	lt.setNotReady(life)
+}
+
+// unreachableWithoutOrders returns the unreachable incarnations that are due for the next
+// order, but neither own keys nor have to release any.
+func (lt *leaseTable) unreachableWithoutOrders(now time.Time) []fleet.Life {
+	if len(lt.unreachable) == 0 {
+		return nil
+	}
+	hasOrders := map[fleet.Life]bool{}
+	for _, list := range lt.slices {
+		for i := range list {
+			hasOrders[list[i].Owner] = true
+			for _, life := range list[i].FormerOwners {
+				hasOrders[life] = true
+			}
+		}
+	}
+	var found []fleet.Life
+	for life, nextOrder := range lt.unreachable {
+		if !hasOrders[life] && !now.Before(nextOrder) {
+			found = append(found, life)
+		}
+	}
+	return found
+}
+
+func (lt *leaseTable) isUnreachable(life fleet.Life) bool {
+	_, unreachable := lt.unreachable[life]
+	return unreachable
+}
+
+// setNotReady marks the slices of an owner as not ready.
+func (lt *leaseTable) setNotReady(owner fleet.Life) {
 	for _, list := range lt.slices {
 		for i := range list {
-			list[i].Ready = list[i].Ready && list[i].Owner != life
+			list[i].Ready = list[i].Ready && list[i].Owner != owner
 		}
 	}
 }
@@ -332,6 +382,9 @@
 	if lt.inFlight[t.order] || lt.endedTargets[t.target] || now.Before(lt.retryAt[t.order]) {
 		return tasks
 	}
+	if lt.isUnreachable(t.target) && (lt.ordersInFlight[t.target] > 0 || now.Before(lt.unreachable[t.target])) {
+		return tasks
+	}
 	if t.release && lt.hasFirstGrantInFlight(t) {
 		return tasks
 	}
@@ -432,6 +485,15 @@
 	lt.retryAt[t.order] = now.Add(orderRetryDelay)
 }
 
+// orderRefused records an order whose connection was refused, and schedules its retry. While
+// the target is unreachable, its other orders wait as well: there may be hundreds.
+func (lt *leaseTable) orderRefused(t task, now time.Time) {
+	lt.orderFailed(t, now)
+	if lt.isUnreachable(t.target) {
+		lt.unreachable[t.target] = now.Add(orderRetryDelay)
+	}
+}
+
 // removeInFlight removes an order from those in flight.
 func (lt *leaseTable) removeInFlight(t task) {
 	delete(lt.inFlight, t.order)
--- a/internal/process/coordinator/witness.go
+++ b/internal/process/coordinator/witness.go
@@ -14,7 +14,7 @@
 
 // If a port refuses connections, its process has ended, or a network partition
 // refuses connections instead of dropping packets. While a failure domain is cut off,
-// only a VM inside it can tell the two apart.
+// a VM inside it can tell the two apart. While a single machine is cut off, nobody can.
 
 const (
 	// nearWitnesses and farWitnesses are the maximum numbers of VMs that are asked, in
@@ -23,6 +23,9 @@
 	farWitnesses  = 1
 	// probeTimeout bounds a witness's attempt to connect.
 	probeTimeout = 150 * time.Millisecond
+	// reachCheckInterval is the interval at which the leader tries to connect to an
+	// unreachable target that has no keys to order about any more.
+	reachCheckInterval = time.Second
 )
 
 // witnesses are the VMs that are asked to connect to a port. near are in the port's
@@ -49,9 +52,10 @@
 	return w
 }
 
-// portClosed reports whether the process has ended whose port refused a connection of
-// this VM. That requires a refusal by a VM in the port's failure domain, a second refusal
-// if there are other VMs to ask, and no successful connection. It runs outside the loop.
+// portClosed reports whether a port that refused a connection of this VM refuses those of
+// other VMs, too. That requires a refusal by a VM in the port's failure domain, a second
+// refusal if there are other VMs to ask, and no successful connection. It runs outside the
+// loop.
 func (c *Coordinator) portClosed(address string, w witnesses) bool {
 	type answer struct {
 		reply *peerv1.ProbeReply
@@ -98,34 +102,60 @@
 	}}})
 }
 
-// checkTargetEnded checks whether a target whose port refuses connections has ended. A
-// leaving target closes its port before its last requests have completed. Until they have,
-// it counts as running and its keys are not granted to others, for at most as long as its
-// grants last.
-func (c *Coordinator) checkTargetEnded(life fleet.Life) {
+// checkTargetUnreachable checks whether other VMs cannot connect to a target either whose
+// port refuses connections of this VM. If so, its keys are not ready any more and move to
+// other targets. That proves nothing about its process: a network partition around the target
+// looks the same from every VM, and so does a leaving target that closes its port before its
+// last requests have completed. Its keys are granted to others only as for a target that does
+// not answer, once its grants have expired or it has answered a release.
+func (c *Coordinator) checkTargetUnreachable(life fleet.Life) {
 	l, target := c.lead, c.view.Targets[life.ID]
-	if target == nil || target.Life != life || l.endChecks[life] {
+	if target == nil || target.Life != life || l.reachChecks[life] || l.leaseTable.isUnreachable(life) {
 		return
 	}
-	l.endChecks[life] = true
-	asked := time.Now()
+	l.reachChecks[life] = true
 	w, address, domain := c.chooseWitnesses(target.FailureDomain, c.view, ""), target.Address, target.FailureDomain
 	service := target.Service
 	go func() {
-		ended := c.portClosed(address, w)
+		closed := c.portClosed(address, w)
 		c.config.Loop.Post(func() {
 			if c.lead != l {
 				return
 			}
-			delete(l.endChecks, life)
+			delete(l.reachChecks, life)
 			observed, _ := c.config.Observe(service, life.ID)
-			events.TargetEndChecked.Log(c.config.Logger).Str("target", life.ID).Int64("born", life.Born).
+			events.TargetReachChecked.Log(c.config.Logger).Str("target", life.ID).Int64("born", life.Born).
 				Str("failure_domain", domain).Strs("near", w.near).Strs("far", w.far).Bool("self_near", w.selfNear).
-				Bool("ended", ended).Int("running", observed.Running).Send()
-			if ended && observed.Running == 0 {
-				l.leaseTable.markEnded(life, asked)
+				Bool("unreachable", closed).Int("running", observed.Running).Send()
+			if closed && observed.Running == 0 {
+				l.leaseTable.markUnreachable(life)
 				c.publishSlicesSoon()
 			}
 		})
 	}()
 }
+
+// recheckUnreachable tries to connect to the unreachable targets to which no orders are due,
+// so that they can be given keys again.
+func (c *Coordinator) recheckUnreachable(now time.Time) {
+	l := c.lead
+	for _, life := range l.leaseTable.unreachableWithoutOrders(now) {
+		target := c.view.Targets[life.ID]
+		if target == nil || target.Life != life {
+			delete(l.leaseTable.unreachable, life)
+			continue
+		}
+		l.leaseTable.unreachable[life] = now.Add(reachCheckInterval)
+		address := target.Address
+		go func() {
+			ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
+			defer cancel()
+			err := c.config.Dial(ctx, address)
+			c.config.Loop.Post(func() {
+				if c.lead == l && err == nil {
+					delete(l.leaseTable.unreachable, life)
+				}
+			})
+		}()
+	}
+}
--- a/internal/process/events/ownership.go
+++ b/internal/process/events/ownership.go
@@ -36,6 +36,6 @@
 	MovesNotWritten    = register(4111, "moves-not-written", zerolog.WarnLevel, "Moves could not be written into the record and were not started.")
 	OrderDone          = register(4112, "order-done", zerolog.InfoLevel, "A target has answered a grant or a release, or failed to. fence_next is the higher fence that the slice gets after a failed grant. Renewals that change nothing are not logged.")
 	GrantsRanOut       = register(4113, "grants-ran-out", zerolog.InfoLevel, "A former owner did not answer; its grants have expired, so the keys go to the next owner.")
-	TargetEndChecked   = register(4114, "target-end-checked", zerolog.InfoLevel, "A target's port refuses connections; VMs inside and outside its failure domain were asked whether it has ended.")
+	TargetReachChecked = register(4114, "target-reach-checked", zerolog.InfoLevel, "A target's port refuses connections; VMs inside and outside its failure domain were asked whether they reach it.")
 	TargetsAssumedCold = register(4116, "targets-assumed-cold", zerolog.WarnLevel, "Some targets may have restarted, and the store did not answer whether they have. They get what cold targets bear until they would be warm.")
 )
