--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -342,6 +342,7 @@
 func (d *Desk) endRemote(broker string, end admission.End) {
 	message := &peerv1.PermitEnd{
 		Number: end.ID.Number, Result: peerv1.PermitResult(end.Result), ServiceMicros: uint32(end.Took.Microseconds()),
+		Leaving: end.Leaving, RestMillis: uint32(end.Rest.Milliseconds()),
 	}
 	if end.HasLoad {
 		message.Load = &peerv1.ObservedLoad{
--- a/internal/process/permits/wire.go
+++ b/internal/process/permits/wire.go
@@ -15,6 +15,7 @@
 		Number: r.ID.Number, Service: r.Service, Key: uint32(r.Key), Class: r.Class, FailureDomain: r.Domain,
 		Priority: int32(r.Priority), AimMillis: int32(r.Aim.Sub(now).Milliseconds()),
 		DeadlineMillis: int32(r.Deadline.Sub(now).Milliseconds()), Repeat: r.Repeat, Exclude: r.Exclude, Large: r.Large,
+		Team: r.Team,
 	}
 }
 
@@ -24,6 +25,7 @@
 		Domain: m.FailureDomain, Priority: int(m.Priority),
 		Aim: now.Add(millis(m.AimMillis)), Deadline: now.Add(millis(m.DeadlineMillis)),
 		Repeat: m.Repeat, Exclude: m.Exclude, Large: m.Large,
+		Team: m.Team,
 	}
 }
 
@@ -44,7 +46,7 @@
 func endFromWire(vm string, m *peerv1.PermitEnd) admission.End {
 	end := admission.End{
 		ID: admission.ID{VM: vm, Number: m.Number}, Result: admission.Result(m.Result),
-		Took: time.Duration(m.ServiceMicros) * time.Microsecond,
+		Took: time.Duration(m.ServiceMicros) * time.Microsecond, Leaving: m.Leaving, Rest: time.Duration(m.RestMillis) * time.Millisecond,
 	}
 	if m.Load != nil {
 		end.HasLoad = true
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -80,6 +80,8 @@
 	Class string
 	// Domain is the failure domain of the VM that will send the request.
 	Domain string
+	// Team is the team of the caller; empty if the configuration has no teams.
+	Team string
 	// Priority orders waiting requests; 0 is the highest priority.
 	Priority int
 	// Aim is when the answer should arrive. Deadline is when it becomes useless
@@ -119,6 +121,10 @@
 	// false if it reported none.
 	Load    fleet.Load
 	HasLoad bool
+	// Leaving is set if the target has said in its response that it is leaving.
+	Leaving bool
+	// Rest is how long the target has asked to get no requests.
+	Rest time.Duration
 }
 
 // Budget bounds the repeated requests of a service: within Window, Allowance
--- a/internal/version/fleet/config.go
+++ b/internal/version/fleet/config.go
@@ -37,9 +37,25 @@
 	Limits   Limits    `json:"limits"`
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
+	// Teams are the teams of callers. If there are none, requests carry no access keys.
+	Teams []Team `json:"teams,omitempty"`
 
 	byHost   map[string][]*Route
 	services map[string]*Service
+	teams    map[string]*Team
+}
+
+// Team is a group of callers with access keys, a priority and a limit on their requests.
+type Team struct {
+	Name       string   `json:"name"`
+	AccessKeys []string `json:"accessKeys"`
+	// Priority orders teams when capacity is short; 0 is the highest. It takes precedence
+	// over the priority of routes.
+	Priority int `json:"priority,omitempty"`
+	// Rate is the number of requests per second that the team may send through all VMs
+	// together, Burst the number beyond it that may come at once. A Rate of 0 is no limit.
+	Rate  float64 `json:"rate,omitempty"`
+	Burst float64 `json:"burst,omitempty"`
 }
 
 // Limits bound the size of requests, the time in which a caller has to send the headers,
@@ -98,6 +114,7 @@
 func (c *Config) Index() {
 	c.byHost = map[string][]*Route{}
 	c.services = map[string]*Service{}
+	c.teams = map[string]*Team{}
 	for i := range c.Routes {
 		route := &c.Routes[i]
 		c.byHost[route.Host] = append(c.byHost[route.Host], route)
@@ -108,6 +125,9 @@
 	for i := range c.Services {
 		c.services[c.Services[i].Name] = &c.Services[i]
 	}
+	for i := range c.Teams {
+		c.teams[c.Teams[i].Name] = &c.Teams[i]
+	}
 }
 
 // Match returns the route of a host with the longest prefix of the path, or nil. The
@@ -127,6 +147,9 @@
 // Service returns a service by name, or nil.
 func (c *Config) Service(name string) *Service { return c.services[name] }
 
+// Team returns a team by name, or nil.
+func (c *Config) Team(name string) *Team { return c.teams[name] }
+
 // Pick returns the service for one request of the route; draw is a uniform
 // random number in [0, 1).
 func (r *Route) Pick(draw float64) string {
