--- a/internal/request/forward/body.go
+++ b/internal/request/forward/body.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -9,9 +10,13 @@
 // readAheadBytes is the size of a single read when a body is read ahead.
 const readAheadBytes = 8 << 10
 
+// errBodyDiscarded is the error of an attempt whose part of the body is no longer kept.
+var errBodyDiscarded = errors.New("a part of the request's body is no longer kept")
+
 // replayBody is the body of a caller's request. It can be sent more than once as
 // long as it is within a size limit: what one attempt reads from the caller is kept
-// for the next.
+// for the next. Each attempt gets the body from its beginning and without a gap, or an
+// error.
 type replayBody struct {
 	source io.Reader
 	limit  int
@@ -22,6 +27,8 @@
 	// limit and were discarded.
 	buffered []byte
 	dropped  bool
+	// taken is the number of bytes read from the caller so far.
+	taken int
 	// err is the error of the last read from the caller, io.EOF at the end.
 	err error
 	// attempt is the number of the latest reader; only that one may read on.
@@ -69,6 +76,7 @@
 	n, err := b.source.Read(p)
 	b.mu.Lock()
 	b.reading, b.err = false, err
+	b.taken += n
 	b.readDone.Broadcast()
 	return n
 }
@@ -77,10 +85,16 @@
 // is still being sent.
 func (b *replayBody) streamed() bool { return !b.empty }
 
-// replayable reports whether the body can be sent again from its beginning.
-func (b *replayBody) replayable() bool {
+// rewind ends the latest attempt and reports whether the body can be sent again from its
+// beginning. If so, it stays so until the next attempt reads beyond the limit: both must be
+// one step, because a read of the latest attempt may still be in progress.
+func (b *replayBody) rewind() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.attempt > 0 {
+		b.attempt++
+		b.readDone.Broadcast()
+	}
 	return !b.dropped && (b.err == nil || b.err == io.EOF)
 }
 
@@ -117,6 +131,8 @@
 			n := copy(p, b.buffered[r.offset:])
 			r.offset += n
 			return n, nil
+		case b.dropped && r.offset < b.taken:
+			return 0, errBodyDiscarded
 		case b.err != nil:
 			return 0, b.err
 		case b.reading:
@@ -128,18 +144,20 @@
 }
 
 // readMore reads from the caller beyond what has been read before. The lock must be
-// held.
+// held. If the attempt has ended during the read, its bytes are kept for the next one even
+// beyond the limit: the next attempt may have begun, and they are no more than one read.
 func (r *bodyReader) readMore(p []byte) (int, error) {
 	b := r.body
 	n := b.readSource(p)
-	if !b.dropped {
-		if len(b.buffered)+n > b.limit {
-			b.dropped, b.buffered = true, nil
-		} else {
-			b.buffered = append(b.buffered, p[:n]...)
-		}
+	ended := r.attempt != b.attempt
+	switch {
+	case b.dropped:
+	case len(b.buffered)+n > b.limit && !ended:
+		b.dropped, b.buffered = true, nil
+	default:
+		b.buffered = append(b.buffered, p[:n]...)
 	}
-	if r.attempt != b.attempt {
+	if ended {
 		return 0, io.ErrClosedPipe
 	}
 	r.offset += n
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -102,10 +102,10 @@
 // target.
 const maxTries = 4
 
-// mayRetry reports whether another attempt is possible and allowed. tries is the number
-// of attempts before the one that has just failed.
+// mayRetry reports whether another attempt is possible and allowed, and ends the one that
+// has just failed. tries is the number of attempts before that one.
 func (x *exchange) mayRetry(tries int) bool {
-	return x.attempts < x.route.MaxAttempts && tries+1 < maxTries && x.body.replayable() && x.ctx.Err() == nil
+	return x.attempts < x.route.MaxAttempts && tries+1 < maxTries && x.body.rewind() && x.ctx.Err() == nil
 }
 
 func (x *exchange) permitRequest(repeat bool) admission.Request {
