--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -177,13 +177,13 @@
 	}
 }
 
-// needsBroker reports whether a request must wait for a broker that is slow but alive,
-// because this VM knows no warm target for it. The broker may still permit it: local
-// decisions send nothing to cold targets, and a change of the owner of a key reaches
-// this VM up to a second later than the broker. Repeats do not wait: they are refused
-// while the broker is slow.
+// needsBroker reports whether a request must wait for a broker that is slow but alive. A
+// repeat must, because local decisions refuse all repeats. So must a request for which this
+// VM knows no warm target: the broker may still permit it, since local decisions send nothing
+// to cold targets, and a change of the owner of a key reaches this VM up to a second later
+// than the broker.
 func (d *Desk) needsBroker(broker string, r *admission.Request) bool {
-	return !r.Repeat && d.config.Alive(broker) && !d.hasWarmTarget(d.config.View(), r, time.Now())
+	return d.config.Alive(broker) && (r.Repeat || !d.hasWarmTarget(d.config.View(), r, time.Now()))
 }
 
 // hasWarmTarget reports whether a view has a usable target for a request and that
