--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -198,7 +198,8 @@
 	c.publishObserved()
 }
 
-// noteStoreAnswer records on a leader whether a call to the store was answered.
+// noteStoreAnswer records on a leader whether a call of the observer to the store was
+// answered.
 func (c *Coordinator) noteStoreAnswer(err error) {
 	if c.lead != nil {
 		c.lead.noteStoreAnswer(err, time.Now())
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -124,6 +124,7 @@
 		version, err := c.writeRecord(&record, revision)
 		c.config.Loop.Post(func() {
 			c.checking = false
+			c.observer.NoteStoreAnswer(err, time.Now())
 			if err != nil {
 				events.TakeoverFailed.Log(c.config.Logger).Uint64("term", record.Term).Str("reason", reason).Err(err).Send()
 				return
@@ -166,7 +167,7 @@
 		Str("reason", reason).Str("leader_before", former.Leader.VM).Int("members", len(l.members)).Send()
 	if !c.observer.Watching() {
 		c.observer.Seed(c.view)
-		c.observer.Start(c.ctx, c.storeFailedAt)
+		c.observer.Start(c.ctx)
 	}
 	// The follower's lists become the base of the diffs that this leader sends.
 	l.parts.adoptLists(c.view, c.haveVersions)
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -49,7 +49,7 @@
 	}
 	if silentFor > watchStoreAfter && now.Sub(c.startedAt) > watchStoreAfter && !c.observer.Watching() {
 		c.observer.Seed(c.view)
-		c.observer.Start(c.ctx, c.storeFailedAt)
+		c.observer.Start(c.ctx)
 	}
 	if c.observer.Watching() && c.observer.Tick(now) {
 		c.publishObserved()
@@ -302,6 +302,7 @@
 func (c *Coordinator) leaderChecked(record *fleet.Record, revision int64, err error, e evidence) {
 	c.checking = false
 	now := time.Now()
+	c.observer.NoteStoreAnswer(err, now)
 	c.checkAt = now.Add(c.checkPause)
 	c.checkPause = min(2*c.checkPause, checkPauseMax)
 	switch {
--- a/internal/process/coordinator/record.go
+++ b/internal/process/coordinator/record.go
@@ -137,6 +137,7 @@
 			}
 			l.writing = false
 			l.noteStoreAnswer(err, time.Now())
+			c.observer.NoteStoreAnswer(err, time.Now())
 			if fault.Is(err, fault.Conflict) {
 				c.stepDown("another VM has changed the record")
 				return
--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -4,7 +4,7 @@
 // Guarantees: the configuration never goes back to a lower version; an entry
 // that cannot be decoded does not affect the others; a target whose entry is
 // missing after a store outage counts as removed only once the entry has had time
-// to reappear.
+// to reappear. Any other removal takes effect at once.
 package observer
 
 import (
@@ -27,6 +27,21 @@
 	// reappearTime is how long entries may take to reappear after a store outage. The
 	// platform documents about two seconds.
 	reappearTime = 2300 * time.Millisecond
+	// eventReappearTime is the same for an entry whose removal a running watch reports after
+	// a store outage: the store may expire entries only once it is back. The time of such a
+	// removal is known, so the remaining 0.8 s of the 2 s within which it must take effect
+	// are left for the other VMs, including one lost message.
+	eventReappearTime = 1200 * time.Millisecond
+	// outageMin is the time without an answer after which the store counts as having been
+	// unavailable. Entries of live targets, which reappear within about two seconds, do not
+	// expire sooner, and a leader that alone is cut off is replaced before that. A cut of
+	// 0.6 s with resets stays below it: up to 0.5 s of a poll before it, and the pause of
+	// the first of three watches to return.
+	outageMin = 2 * time.Second
+	// callMax is the longest duration of a failed call to the store, failurePause the longest
+	// time between two failed calls of a VM that keeps trying.
+	callMax      = 1500 * time.Millisecond
+	failurePause = 2500 * time.Millisecond
 	// removedRetention is how long a removed target is remembered, so that its keys
 	// can be taken back from it.
 	removedRetention = 30 * time.Second
@@ -77,11 +92,13 @@
 	// reappearUntil is the time until which missing entries may still reappear after
 	// an outage.
 	reappearUntil time.Time
-	// outage is set from a call that finds the store unavailable to the next that
-	// succeeds.
-	outage bool
-	// missing holds the targets whose entries are absent but may reappear.
-	missing map[string]bool
+	// answeredAt is when the store last answered a call of this VM. failingSince is when the
+	// first of the calls since then failed, failedAt when the last one did; both are zero if
+	// none has.
+	answeredAt, failingSince, failedAt time.Time
+	// missing holds the targets whose entries are absent but may reappear, each with the
+	// time until which it may.
+	missing map[string]time.Time
 	// assumed holds the targets that are assumed to be cold, by ID. confirming is set while
 	// their entries are read, askAgain if they have to be read once more after that.
 	assumed              map[string]assumption
@@ -100,7 +117,7 @@
 func New(config Config) *Observer {
 	return &Observer{
 		config: config, listed: map[string]bool{}, targets: map[string]*fleet.Target{}, removedAt: map[string]time.Time{},
-		evacuated: map[string]bool{}, evacuationEndedAt: map[string]time.Time{}, missing: map[string]bool{},
+		evacuated: map[string]bool{}, evacuationEndedAt: map[string]time.Time{}, missing: map[string]time.Time{},
 		assumed: map[string]assumption{},
 	}
 }
@@ -139,15 +156,12 @@
 	}
 }
 
-// Start begins to watch. storeFailedAt is when a call of this VM to the store last
-// failed, zero if none has; entries that went missing then may still reappear. An
-// outage seen before the last Stop is disregarded: it says nothing about the store
-// now.
-func (o *Observer) Start(ctx context.Context, storeFailedAt time.Time) {
+// Start begins to watch. Entries that are missing may still reappear if the calls passed
+// to NoteStoreAnswer show that an outage of the store has just ended.
+func (o *Observer) Start(ctx context.Context) {
 	if o.cancel != nil {
 		return
 	}
-	o.outage, o.reappearUntil = false, storeFailedAt.Add(reappearTime)
 	clear(o.missing)
 	clear(o.assumed)
 	ctx, o.cancel = context.WithCancel(ctx)
@@ -265,32 +279,51 @@
 	return ended
 }
 
-// recordContact records the result of a call to the store. For a while after an
-// outage, missing entries may still reappear.
+// recordContact records the result of a call of a watch to the store.
 func (o *Observer) recordContact(prefix string, err error) {
 	if err != nil {
 		events.WatchInterrupted.Log(o.config.Logger).Str("prefix", prefix).Err(err).Send()
 	}
-	switch {
-	case err == nil && o.outage:
-		o.outage = false
-		o.reappearUntil = time.Now().Add(reappearTime)
-	case fault.Is(err, fault.Unavailable):
-		o.outage = true
-	}
+	o.NoteStoreAnswer(err, time.Now())
 	o.config.Contact(err)
 }
 
+// NoteStoreAnswer records the result of a call of this VM to the store, also of those that
+// are not the observer's. After a time of at least outageMin without an answer, missing
+// entries may still reappear for a while. Shorter times do not count: a single failed call,
+// or a cut of this VM's link, says nothing about the entries.
+func (o *Observer) NoteStoreAnswer(err error, now time.Time) {
+	if now.Sub(o.failedAt) > failurePause {
+		// Nothing is known of the time since.
+		o.failingSince, o.failedAt = time.Time{}, time.Time{}
+	}
+	if fault.Is(err, fault.Unavailable) || fault.Is(err, fault.UnknownOutcome) {
+		if o.failingSince.IsZero() {
+			o.failingSince = now
+		}
+		o.failedAt = now
+		return
+	}
+	if !o.failingSince.IsZero() && now.Sub(laterOf(o.answeredAt, o.failingSince.Add(-callMax))) >= outageMin {
+		o.reappearUntil = now.Add(reappearTime)
+		for id := range o.missing {
+			o.missing[id] = o.reappearUntil
+		}
+	}
+	o.answeredAt, o.failingSince, o.failedAt = now, time.Time{}, time.Time{}
+}
+
 // Tick marks targets whose entries did not reappear in time as removed, forgets targets
-// after removedRetention, and reports whether anything changed.
+// after removedRetention, and reports whether anything changed. While the store does not
+// answer, no entry can reappear.
 func (o *Observer) Tick(now time.Time) bool {
 	changed := false
-	if len(o.missing) > 0 && !o.outage && now.After(o.reappearUntil) {
-		for id := range o.missing {
+	for id, until := range o.missing {
+		if o.failingSince.IsZero() && now.After(until) {
+			delete(o.missing, id)
 			o.markRemoved(id, now)
+			changed = true
 		}
-		clear(o.missing)
-		changed = true
 	}
 	for id, at := range o.removedAt {
 		if now.Sub(at) > removedRetention {
@@ -361,15 +394,19 @@
 	})
 	for id := range o.targets {
 		if !present[id] {
-			o.handleMissing(id)
+			o.handleMissing(id, o.reappearUntil)
 		}
 	}
 }
 
 func (o *Observer) targetsChanged(objects []store.Object) {
+	removedUntil := time.Now().Add(eventReappearTime)
+	if o.reappearUntil.Before(removedUntil) {
+		removedUntil = o.reappearUntil
+	}
 	o.eachObject(objects, func(object store.Object) {
 		if object.Deleted {
-			o.handleMissing(o.targetID(object))
+			o.handleMissing(o.targetID(object), removedUntil)
 			return
 		}
 		o.applyTarget(object)
@@ -419,18 +456,21 @@
 	return fault.New(fault.Invalid, "the entry is ignored; correct its writer", "target %q belongs to service %q, but its entry names the undeclared service %q", t.ID, known.Service, t.Service)
 }
 
-// handleMissing handles a target whose entry is missing. The target is marked as removed
-// at once, except during an outage of the store and shortly after: then Tick does so if
-// the entry has not reappeared in time.
-func (o *Observer) handleMissing(id string) {
+// handleMissing handles a target whose entry is missing and may reappear until a time,
+// which has passed unless the store has been unavailable. The target is marked as removed
+// at once or, if the entry has not reappeared by then, by Tick.
+func (o *Observer) handleMissing(id string, until time.Time) {
 	if o.targets[id] == nil || !o.removedAt[id].IsZero() {
 		return
 	}
 	now := time.Now()
-	if o.outage || now.Before(o.reappearUntil) {
-		o.missing[id] = true
+	if now.Before(until) {
+		if known, waiting := o.missing[id]; !waiting || until.Before(known) {
+			o.missing[id] = until
+		}
 		return
 	}
+	delete(o.missing, id)
 	o.markRemoved(id, now)
 }
 
--- a/internal/process/observer/observer_test.go
+++ b/internal/process/observer/observer_test.go
@@ -72,20 +72,34 @@
 
 // watch starts the observer, seeded with the targets t0 and t1, and ticks it for a
 // time.
-func (o *fixture) watch(t *testing.T, storeFailedAt time.Time, during time.Duration) {
+func (o *fixture) watch(t *testing.T, during time.Duration) {
 	o.config.Loop.Call(func() {
 		targets := map[string]*fleet.Target{}
 		for _, id := range []string{"t0", "t1"} {
 			targets[id] = &fleet.Target{Life: fleet.Life{ID: id, Born: 1}}
 		}
 		o.Seed(&fleet.View{Targets: targets})
-		o.Start(t.Context(), storeFailedAt)
+		o.Start(t.Context())
 	})
+	o.tick(during)
+}
+
+// tick ticks the observer for a time.
+func (o *fixture) tick(during time.Duration) {
 	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		o.config.Loop.Call(func() { o.Tick(time.Now()) })
 	}
 }
 
+// noteOutage passes the observer the calls of a VM to a store that is unavailable for a time
+// and then answers.
+func (o *fixture) noteOutage(during time.Duration) {
+	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		o.config.Loop.Call(func() { o.NoteStoreAnswer(errDown, time.Now()) })
+	}
+	o.config.Loop.Call(func() { o.NoteStoreAnswer(nil, time.Now()) })
+}
+
 // isLeaving reports whether a target is marked as leaving.
 func (o *fixture) isLeaving(id string) (leaving bool) {
 	o.config.Loop.Call(func() { leaving = o.targets[id].Leaving })
@@ -98,11 +112,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		o := newFixture(t)
 		o.store.down.Store(true)
-		o.watch(t, time.Time{}, time.Second)
+		o.watch(t, time.Second)
 		o.config.Loop.Call(o.Stop)
 		o.store.down.Store(false)
 		time.Sleep(10 * time.Second)
-		o.watch(t, time.Time{}, 100*time.Millisecond)
+		o.watch(t, 100*time.Millisecond)
 		assert.Assert(t, o.isLeaving("t1"))
 		assert.Assert(t, !o.isLeaving("t0"))
 	})
@@ -122,13 +136,13 @@
 					_, err = o.store.Put(t.Context(), "targets/t0", []byte(value), present.Version)
 					assert.NilError(t, err)
 				}
-				o.watch(t, time.Time{}, time.Second)
+				o.watch(t, time.Second)
 				if !watched {
 					o.config.Loop.Call(o.Stop)
 				}
 				put("odd")
 				if !watched {
-					o.watch(t, time.Time{}, time.Second)
+					o.watch(t, time.Second)
 				}
 				time.Sleep(time.Second)
 				assert.Assert(t, !o.isLeaving("t0"))
@@ -151,7 +165,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				o := newFixture(t)
-				o.watch(t, time.Time{}, time.Second)
+				o.watch(t, time.Second)
 				o.store.down.Store(down)
 				var began time.Time
 				o.config.Loop.Call(func() {
@@ -191,16 +205,16 @@
 				o := newFixture(t)
 				_, err := o.store.Put(t.Context(), "targets/t1", []byte("t1"), store.Absent)
 				assert.NilError(t, err)
-				o.watch(t, time.Time{}, time.Second)
+				o.watch(t, time.Second)
 				assert.Assert(t, !o.isLeaving("t1"))
 				o.config.Loop.Call(o.Stop)
 				present, err := o.store.Get(t.Context(), "targets/t1")
 				assert.NilError(t, err)
 				assert.NilError(t, o.store.Delete(t.Context(), "targets/t1", present.Version))
-				time.Sleep(5 * time.Second)
+				o.noteOutage(5 * time.Second)
 				o.config.Loop.Call(func() {
 					o.Seed(&fleet.View{Targets: seen})
-					o.Start(t.Context(), time.Now())
+					o.Start(t.Context())
 				})
 				time.Sleep(time.Second)
 				o.config.Loop.Call(func() {
@@ -223,7 +237,7 @@
 			assert.NilError(t, err)
 		}
 		put("a", "panic")
-		o.watch(t, time.Time{}, time.Second)
+		o.watch(t, time.Second)
 		assert.Assert(t, !o.isLeaving("t0"))
 		put("b", "panic")
 		put("t2", "t2")
@@ -237,10 +251,65 @@
 func TestEntriesMayComeBackAfterAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := newFixture(t)
-		o.watch(t, time.Now(), reappearTime-100*time.Millisecond)
+		o.noteOutage(outageMin)
+		o.watch(t, reappearTime-100*time.Millisecond)
 		assert.Assert(t, !o.isLeaving("t1"))
 		time.Sleep(200 * time.Millisecond)
 		o.config.Loop.Call(func() { o.Tick(time.Now()) })
 		assert.Assert(t, o.isLeaving("t1"))
 	})
 }
+
+// TestRemovalAfterAnUnavailableStore checks when a target whose entry is removed counts as
+// removed. After a short cut of this VM, repeated failures of one watch, or a time in which
+// the store answered other calls, that is at once: the entry would otherwise be used for
+// longer than the 2 s within which a removal must take effect. After an outage of the store
+// an entry gets time to reappear; one that does so is not removed.
+func TestRemovalAfterAnUnavailableStore(t *testing.T) {
+	for name, c := range map[string]struct {
+		// down is how long the store is unavailable; answered is set if calls besides the
+		// watches are answered meanwhile.
+		down     time.Duration
+		answered bool
+		// removed is when the entry is removed, from the store's return on.
+		removed time.Duration
+		// goneAfter and keptFor bound the time from then on after which it counts as removed.
+		keptFor, goneAfter time.Duration
+	}{
+		"short cut, removed within it":      {down: 400 * time.Millisecond, removed: -200 * time.Millisecond, goneAfter: 1100 * time.Millisecond},
+		"short cut, removed at its end":     {down: 400 * time.Millisecond, goneAfter: 900 * time.Millisecond},
+		"short cut, removed after it":       {down: 400 * time.Millisecond, removed: 900 * time.Millisecond, goneAfter: 100 * time.Millisecond},
+		"store answers others":              {down: 4 * time.Second, answered: true, goneAfter: 1100 * time.Millisecond},
+		"outage, expired within it":         {down: 4 * time.Second, removed: -time.Second, keptFor: 3 * time.Second, goneAfter: 4500 * time.Millisecond},
+		"outage, removal reported after it": {down: 4 * time.Second, removed: 1100 * time.Millisecond, keptFor: eventReappearTime - 50*time.Millisecond, goneAfter: eventReappearTime + 100*time.Millisecond},
+		"outage long ago":                   {down: 4 * time.Second, removed: 4 * time.Second, goneAfter: 100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newFixture(t)
+				o.watch(t, time.Second)
+				o.config.Loop.Call(o.Stop)
+				o.config.Loop.Call(func() { o.NoteStoreAnswer(nil, time.Now()) })
+				o.store.down.Store(true)
+				began := time.Now()
+				removedAt := began.Add(c.down + c.removed)
+				time.AfterFunc(c.down, func() { o.store.down.Store(false) })
+				time.AfterFunc(c.down+c.removed, func() {
+					present, _ := o.store.Get(t.Context(), "targets/t0")
+					_ = o.store.Delete(t.Context(), "targets/t0", present.Version)
+				})
+				o.config.Loop.Call(func() { o.Start(t.Context()) })
+				for time.Since(removedAt) < c.goneAfter {
+					o.tick(50 * time.Millisecond)
+					if c.answered && time.Since(began) < c.down {
+						o.config.Loop.Call(func() { o.NoteStoreAnswer(nil, time.Now()) })
+					}
+					if since := time.Since(removedAt); since < c.keptFor {
+						assert.Assert(t, !o.isLeaving("t0"), "removed %s after its entry", since)
+					}
+				}
+				assert.Assert(t, o.isLeaving("t0"), "not removed %s after its entry", c.goneAfter)
+			})
+		})
+	}
+}
