--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -97,6 +97,8 @@
 	// new leader in the record sets it to the recent past, so that this leader has time
 	// to send its first heartbeat.
 	heartbeatAt time.Time
+	// freshness is the age of the view, for readers outside the loop; nil at the start.
+	freshness atomic.Pointer[freshness]
 	// sharedHeartbeatAt is the arrival of the last heartbeat for readers outside the loop;
 	// nil before the first one.
 	sharedHeartbeatAt atomic.Pointer[time.Time]
@@ -143,6 +145,7 @@
 	c.observer = observer.New(observer.Config{
 		Names: config.Names, Store: config.Store, Loop: config.Loop, Logger: config.Logger,
 		Changed: c.declarationsChanged, Contact: c.noteStoreAnswer,
+		Uptime: config.Uptime,
 	})
 	return c
 }
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -193,6 +193,9 @@
 	events.LeadershipLost.Log(c.config.Logger).Uint64("term", c.lead.record.Term).Str("reason", reason).Send()
 	c.lead.cancelOrders()
 	c.lead = nil
+	if f := c.freshness.Load(); f != nil {
+		c.freshness.Store(&freshness{heardAt: c.config.Uptime() - heartbeatTimeout, knownAt: f.knownAt, known: f.known})
+	}
 	c.observer.Stop()
 	c.heartbeatAt = time.Now().Add(-heartbeatTimeout)
 	c.checkAt = time.Time{}
@@ -208,6 +211,7 @@
 	}
 	c.dropSilentMembers(now)
 	c.detectStoreLoss(now)
+	c.noteLeaderKnowledge()
 	l.outranked = l.isOutranked(now)
 	c.detectSoleLeader(now)
 	c.renewRecord(now)
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -69,6 +69,7 @@
 	c.config.Sender.Send(c.view.Leader.VM, &peerv1.Control{Kind: &peerv1.Control_MemberReport{MemberReport: &peerv1.MemberReport{
 		Term: c.view.Term, Address: c.config.Self.Address, ProcessorMillis: c.config.Self.Processor,
 		FailureDomain: c.config.Self.FailureDomain, Have: proto.Clone(c.haveVersions).(*peerv1.PartVersions), HeardMillis: c.leaderUptimeMillis,
+		SentMillis: uint64(c.config.Uptime().Milliseconds()),
 	}}})
 }
 
@@ -114,6 +115,7 @@
 		c.applyParts(&view, state, now)
 		c.publish(&view)
 	}
+	c.noteKnowledge(state)
 	if !now.Before(c.reportAt) {
 		c.report(now)
 	}
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -31,6 +31,10 @@
 	followConfirmedAt time.Duration
 	// term is the term in the VM's last report.
 	term uint64
+	// reportSentMillis is when the VM sent its last report, by its own clock;
+	// reportArrivedAt is this VM's uptime at its arrival.
+	reportSentMillis uint64
+	reportArrivedAt  time.Duration
 	// sentVersions are the versions that were last sent; nil until the VM's first report.
 	// detailsSentAt is when the owners of keys or the list of VMs were last sent.
 	sentVersions  *peerv1.PartVersions
@@ -96,6 +100,7 @@
 		Term: l.record.Term, Leader: memberToWire(c.config.Self), Versions: l.parts.versions(now),
 		StoreLost: l.storeLost, Leaving: c.leaving, Outranked: l.outranked, RecordWrite: l.record.Write,
 		Repeats: c.currentRepeats(now), SentMillis: uint64(c.config.Uptime().Milliseconds()),
+		Known: c.knowledgeFor(m),
 	}
 	if m.sentVersions != nil {
 		c.addParts(state, m, now)
@@ -204,6 +209,7 @@
 		c.publishMembersSoon(m)
 	}
 	m.reportedAt, m.term = now, report.Term
+	m.reportSentMillis, m.reportArrivedAt = report.SentMillis, c.config.Uptime()
 	if report.Term == l.record.Term {
 		m.followConfirmedAt = max(m.followConfirmedAt, time.Duration(report.HeardMillis)*time.Millisecond)
 	}
--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -71,6 +71,8 @@
 	Changed func()
 	// Contact is called on the loop after each call to the store, with its error.
 	Contact func(error)
+	// Uptime returns the time since the VM's start, including time suspended.
+	Uptime func() time.Duration
 }
 
 // Observer holds the latest declarations. Its methods must be called on the loop.
@@ -79,8 +81,8 @@
 	// watchContext is the context of the watches, which cancel ends.
 	watchContext context.Context
 	cancel       context.CancelFunc
-	// listed holds the prefixes that have been listed since Start.
-	listed map[string]bool
+	// knownAt holds the uptime of the last answer to each watch since Start that is applied.
+	knownAt map[string]time.Duration
 
 	fleetConfig *fleet.Config
 	targets     map[string]*fleet.Target
@@ -116,7 +118,7 @@
 // New returns an observer that watches nothing yet.
 func New(config Config) *Observer {
 	return &Observer{
-		config: config, listed: map[string]bool{}, targets: map[string]*fleet.Target{}, removedAt: map[string]time.Time{},
+		config: config, knownAt: map[string]time.Duration{}, targets: map[string]*fleet.Target{}, removedAt: map[string]time.Time{},
 		evacuated: map[string]bool{}, evacuationEndedAt: map[string]time.Time{}, missing: map[string]time.Time{},
 		assumed: map[string]assumption{},
 	}
@@ -127,7 +129,16 @@
 
 // Complete reports whether all prefixes have been listed since Start and a
 // configuration is known.
-func (o *Observer) Complete() bool { return len(o.listed) == 3 && o.fleetConfig != nil }
+func (o *Observer) Complete() bool { return len(o.knownAt) == 3 && o.fleetConfig != nil }
+
+// KnownAt returns the uptime up to which all changes of the declarations are known: that of
+// the oldest of the last answers to the watches. It reports false unless Complete.
+func (o *Observer) KnownAt() (time.Duration, bool) {
+	if !o.Complete() {
+		return 0, false
+	}
+	return min(o.knownAt[o.config.Names.Config], o.knownAt[o.config.Names.Targets], o.knownAt[o.config.Names.Evacuations]), true
+}
 
 // Seed takes over the declarations in a view. It is called before Start. The targets of
 // the view replace those of a former watch, which may have left since; only a later
@@ -178,7 +189,7 @@
 	}
 	o.cancel()
 	o.cancel = nil
-	clear(o.listed)
+	clear(o.knownAt)
 }
 
 // watchPrefix runs one watch. Its callbacks are posted to the loop and dropped once
@@ -191,11 +202,26 @@
 			}
 		})
 	}
+	// postAnswer posts an answer to the watch; apply is nil if it changes nothing.
+	postAnswer := func(apply func([]store.Object), objects []store.Object) {
+		answered := o.config.Uptime()
+		post(func() {
+			o.knownAt[prefix] = answered
+			if apply != nil {
+				apply(objects)
+				o.config.Changed()
+			}
+		})
+	}
 	go store.Follow(ctx, o.config.Store, prefix, store.Follower{
-		Listed: func(objects []store.Object) {
-			post(func() { o.listed[prefix] = true; listed(objects); o.config.Changed() })
+		Listed: func(objects []store.Object) { postAnswer(listed, objects) },
+		Changed: func(objects []store.Object) {
+			if len(objects) == 0 {
+				postAnswer(nil, nil)
+				return
+			}
+			postAnswer(changed, objects)
 		},
-		Changed: func(objects []store.Object) { post(func() { changed(objects); o.config.Changed() }) },
 		Contact: func(err error) { post(func() { o.recordContact(prefix, err) }) },
 	})
 }
--- a/internal/process/observer/observer_test.go
+++ b/internal/process/observer/observer_test.go
@@ -47,6 +47,7 @@
 }
 
 func newFixture(t *testing.T) *fixture {
+	began := time.Now()
 	logger, controlLoop := zerolog.Nop(), loop.New()
 	o := &fixture{store: &unreliableStore{Memory: store.NewMemory()}}
 	_, err := o.store.Put(t.Context(), "targets/t0", []byte("t0"), store.Absent)
@@ -65,6 +66,7 @@
 			},
 		},
 		Store: o.store, Loop: controlLoop, Logger: &logger, Changed: func() {}, Contact: func(error) {},
+		Uptime: func() time.Duration { return time.Since(began) },
 	})
 	go controlLoop.Run(t.Context())
 	return o
--- a/internal/process/store/follow.go
+++ b/internal/process/store/follow.go
@@ -23,7 +23,8 @@
 	// Listed receives all objects, at the start and whenever changes may have been
 	// missed.
 	Listed func([]Object)
-	// Changed receives later changes in order.
+	// Changed receives later changes in order; none if the store has confirmed that there
+	// are none.
 	Changed func([]Object)
 	// Contact is called after each call to the store, with its error or nil.
 	Contact func(error)
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -41,9 +41,9 @@
 	// List returns the objects whose names begin with prefix, and the revision
 	// to pass to Watch.
 	List(ctx context.Context, prefix string) ([]Object, int64, error)
-	// Watch waits until objects with the prefix change after the given revision or
-	// the context ends. It returns the changes and the revision for the next call;
-	// the end of the context is not an error. If the store no longer has the
+	// Watch waits until objects with the prefix change after the given revision, the
+	// store confirms that none have, or the context ends. It returns the changes, if any,
+	// and the revision for the next call; the end of the context is not an error. If the store no longer has the
 	// changes since that revision, Watch returns Conflict and the caller has to
 	// list again.
 	Watch(ctx context.Context, prefix string, after int64) ([]Object, int64, error)
