--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -124,6 +124,7 @@
 		version, err := c.writeRecord(&record, revision)
 		c.config.Loop.Post(func() {
 			c.checking = false
+			c.observer.NoteStoreAnswer(err, time.Now())
 			if err != nil {
 				events.TakeoverFailed.Log(c.config.Logger).Uint64("term", record.Term).Str("reason", reason).Err(err).Send()
 				return
@@ -166,7 +167,7 @@
 		Str("reason", reason).Str("leader_before", former.Leader.VM).Int("members", len(l.members)).Send()
 	if !c.observer.Watching() {
 		c.observer.Seed(c.view)
-		c.observer.Start(c.ctx, c.storeFailedAt)
+		c.observer.Start(c.ctx)
 	}
 	// The follower's lists become the base of the diffs that this leader sends.
 	l.parts.adoptLists(c.view, c.haveVersions)
@@ -192,6 +193,9 @@
 	events.LeadershipLost.Log(c.config.Logger).Uint64("term", c.lead.record.Term).Str("reason", reason).Send()
 	c.lead.cancelOrders()
 	c.lead = nil
+	if f := c.freshness.Load(); f != nil {
+		c.freshness.Store(&freshness{heardAt: c.config.Uptime() - heartbeatTimeout, knownAt: f.knownAt, known: f.known})
+	}
 	c.observer.Stop()
 	c.heartbeatAt = time.Now().Add(-heartbeatTimeout)
 	c.checkAt = time.Time{}
@@ -207,6 +211,7 @@
 	}
 	c.dropSilentMembers(now)
 	c.detectStoreLoss(now)
+	c.noteLeaderKnowledge()
 	l.outranked = l.isOutranked(now)
 	c.detectSoleLeader(now)
 	c.renewRecord(now)
