--- a/internal/process/events/configuration.go
+++ b/internal/process/events/configuration.go
@@ -39,6 +39,11 @@
 	DomainRestored        = register(6306, "domain-restored", zerolog.InfoLevel, "A failure domain gets requests again; its targets are treated as cold for a while.")
 )
 
+// Events of the teams in the configuration.
+var (
+	TeamInvalid = register(6310, "team-invalid", zerolog.WarnLevel, "The entry of a team in the configuration is invalid and left out, or an access key belongs to several teams and identifies none; the rest of the configuration is in force.")
+)
+
 // Events of the watches of those objects.
 var (
 	WatchInterrupted = register(6308, "watch-interrupted", zerolog.WarnLevel, "A list or watch of declarations failed or was interrupted; it is retried, or the objects are listed again.")
--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -340,6 +340,9 @@
 		o.fleetConfig = config
 		events.ConfigurationObserved.Log(o.config.Logger).Uint64("version", config.Version).
 			Int("routes", len(config.Routes)).Int64("revision", object.Version).Send()
+		for _, problem := range config.InvalidTeams {
+			events.TeamInvalid.Log(o.config.Logger).Uint64("version", config.Version).Str("problem", problem).Send()
+		}
 	})
 }
 
--- a/internal/version/fleet/config.go
+++ b/internal/version/fleet/config.go
@@ -39,10 +39,19 @@
 	Services []Service `json:"services"`
 	// Teams are the teams of callers. If there are none, requests carry no access keys.
 	Teams []Team `json:"teams,omitempty"`
+	// InvalidTeams describes the entries of teams that were left out and the access keys
+	// that identify nobody, without the keys themselves. A configuration whose teams are
+	// all invalid still has teams: its routes do not become public.
+	InvalidTeams []string `json:"invalidTeams,omitempty"`
 
 	byHost   map[string][]*Route
 	services map[string]*Service
 	teams    map[string]*Team
+	// teamsByKey holds the teams by the digests of their access keys; nil for a key of
+	// several teams.
+	teamsByKey map[keyDigest]*Team
+	// leastUrgent is the largest priority of a team.
+	leastUrgent int
 }
 
 // Team is a group of callers with access keys, a priority and a limit on their requests.
@@ -84,6 +93,8 @@
 	MaxAttempts int `json:"maxAttempts"`
 	// Shares split the requests between services by weight. There is at least one.
 	Shares []Share `json:"shares"`
+	// Public is set if requests need no access key.
+	Public bool `json:"public,omitempty"`
 }
 
 // Share is the weight of a service in a route.
@@ -109,7 +120,7 @@
 	KeyWarmup time.Duration `json:"keyWarmup,omitempty"`
 }
 
-// Index builds the lookup tables of Match and Service. It is called once, before the
+// Index builds the lookup tables of Match, Service, Team and TeamOf. It is called once, before the
 // configuration is published.
 func (c *Config) Index() {
 	c.byHost = map[string][]*Route{}
@@ -125,9 +136,7 @@
 	for i := range c.Services {
 		c.services[c.Services[i].Name] = &c.Services[i]
 	}
-	for i := range c.Teams {
-		c.teams[c.Teams[i].Name] = &c.Teams[i]
-	}
+	c.indexTeams()
 }
 
 // Match returns the route of a host with the longest prefix of the path, or nil. The
@@ -147,9 +156,6 @@
 // Service returns a service by name, or nil.
 func (c *Config) Service(name string) *Service { return c.services[name] }
 
-// Team returns a team by name, or nil.
-func (c *Config) Team(name string) *Team { return c.teams[name] }
-
 // Pick returns the service for one request of the route; draw is a uniform
 // random number in [0, 1).
 func (r *Route) Pick(draw float64) string {
