--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -51,6 +51,9 @@
 		// Keeps net/http from adding its own.
 		header["User-Agent"] = []string{""}
 	}
+	if x.allowedBy.HasTeams() {
+		x.handler.config.Dialect.SetTeam(header, x.teamName())
+	}
 	x.handler.config.Dialect.Address(header, t.ID, time.Until(x.deadline)-transitAllowance)
 	request := &http.Request{
 		Method: x.r.Method, Host: x.r.Host, Header: header, ContentLength: x.r.ContentLength,
@@ -146,6 +149,7 @@
 		if err != nil {
 			x.endPermit(permit, resp, x.cutResult())
 			x.handler.metrics.failed("answer-cut")
+			x.countTeam("failed")
 			x.log(events.ResponseCut).Err(err).Send()
 			// The caller must see a broken transfer, not a complete shorter response.
 			panic(http.ErrAbortHandler)
@@ -165,6 +169,7 @@
 // recordDelivered counts and logs a response that has been passed on.
 func (x *exchange) recordDelivered(resp *response) {
 	x.handler.metrics.answered(x.route, time.Since(x.began), resp.Status)
+	x.countTeam(resultOf(resp.Status))
 	x.log(events.RequestAnswered).Int("status", resp.Status).Dur("service_time", resp.took).Send()
 }
 
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -32,6 +32,10 @@
 	// has none.
 	aim, deadline time.Time
 	body          *replayBody
+	// team is the team of the caller by the configuration allowedBy, the last one that
+	// allowed the request; nil if it has none.
+	team      *fleet.Team
+	allowedBy *fleet.Config
 
 	// attempts counts the attempts that may have reached a target.
 	attempts int
@@ -39,6 +43,8 @@
 	target string
 	// exclude holds the ids of the targets that the request may have reached.
 	exclude []string
+	// mayHaveRun is the outcome of the last attempt that may have run; nil if there is none.
+	mayHaveRun *outcome
 }
 
 // outcome is how an attempt ended.
@@ -77,6 +83,10 @@
 		}
 		x.target = permit.Target.ID
 		o := x.attempt(permit)
+		if o.cause == errUnknownKey || o.cause == errUncertainKey {
+			x.respondUnidentified(o.cause)
+			return
+		}
 		if o.response != nil {
 			x.deliver(permit, o.response)
 			return
@@ -85,6 +95,10 @@
 			x.attempts++
 			x.exclude = append(x.exclude, permit.Target.ID)
 		}
+		if o.mayHaveRun {
+			last := o
+			x.mayHaveRun = &last
+		}
 		repeat = repeat || o.arrived
 		x.logAttempt(permit, o)
 		if o.mayHaveRun && !repeatable {
@@ -111,7 +125,7 @@
 func (x *exchange) permitRequest(repeat bool) admission.Request {
 	return admission.Request{
 		Service: x.service.Name, Key: x.key, Class: x.route.Class(), Domain: x.handler.config.Domain,
-		Priority: x.route.Priority, Aim: x.aim, Deadline: x.deadline, Repeat: repeat, Exclude: x.exclude,
+		Team: x.teamName(), Priority: x.allowedBy.Priority(x.team, x.route), Aim: x.aim, Deadline: x.deadline, Repeat: repeat, Exclude: x.exclude,
 		Large: x.r.ContentLength > largeBodyBytes,
 	}
 }
@@ -130,6 +144,13 @@
 		cancel()
 		return x.endAttempt(permit, outcome{result: dialResult(err), cause: err}, 0)
 	}
+	// The key may have been withdrawn while the request waited for the permit or the
+	// connection.
+	if err := x.identify(); err != nil {
+		connection.Return()
+		cancel()
+		return x.endAttempt(permit, outcome{result: admission.Canceled, cause: err}, 0)
+	}
 	began := time.Now()
 	got, err := connection.Do(ctx, x.outgoingRequest(ctx, t), x.body.streamed())
 	took := time.Since(began)
@@ -282,6 +303,7 @@
 // callerLeft records that the caller has left and aborts the handler.
 func (x *exchange) callerLeft() {
 	x.handler.metrics.callersLeft.Inc(1)
+	x.countTeam("left")
 	x.log(events.CallerLeft).Send()
 	panic(http.ErrAbortHandler)
 }
@@ -291,6 +313,7 @@
 func (x *exchange) refuse(reason string, after time.Duration) {
 	x.handler.config.Dialect.RetryAfter(x.w.Header(), after)
 	x.handler.metrics.refused(reason)
+	x.countTeam("refused")
 	x.log(events.RequestTurnedAway).Str("reason", reason).Dur("retry_after", after).Send()
 	x.writeStatus(http.StatusServiceUnavailable, reason)
 }
@@ -299,6 +322,7 @@
 // target.
 func (x *exchange) respondError(status int, reason string) {
 	x.handler.metrics.failed(reason)
+	x.countTeam("failed")
 	x.log(events.RequestFailed).Int("status", status).Str("reason", reason).Send()
 	x.writeStatus(status, reason)
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -60,6 +60,13 @@
 	Signed(http.Header) bool
 	// Load returns the load that a target reports with a response; false if none.
 	Load(http.Header) (fleet.Load, bool)
+	// AccessKey returns the access key of a request; empty if it has none.
+	AccessKey(http.Header) string
+	// SetTeam removes the access key and what a caller sent as the name of its team, and
+	// sets the name unless it is empty.
+	SetTeam(h http.Header, team string)
+	// AskForAccessKey sets the header that belongs to status 401.
+	AskForAccessKey(h http.Header)
 	// RetryAfter sets the delay before a retry that is suggested to the caller.
 	RetryAfter(h http.Header, after time.Duration)
 }
@@ -79,6 +86,8 @@
 	Dialect Dialect
 	Permits Permits
 	View    func() *fleet.View
+	// Current reports whether this VM is sure that its view has the latest configuration.
+	Current func() bool
 	Pools   *Pools
 	// StopBy returns the time by which a stop of this VM must have answered all requests;
 	// zero if this VM is not stopping.
@@ -149,6 +158,10 @@
 		x.respondError(http.StatusNotFound, "no-route")
 		return nil
 	}
+	if err := x.identify(); err != nil {
+		x.respondUnidentified(err)
+		return nil
+	}
 	if r.ContentLength > view.Config.Limits.BodyBytes {
 		x.respondError(http.StatusRequestEntityTooLarge, "body-too-large")
 		return nil
@@ -192,6 +205,9 @@
 	if x.route != nil {
 		line = line.Str("route", x.route.Name).Uint64("configuration", x.view.Config.Version)
 	}
+	if x.team != nil {
+		line = line.Str("team", x.team.Name)
+	}
 	if x.service != nil {
 		line = line.Str("service", x.service.Name)
 		if x.service.Keyed {
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/caller"
@@ -49,6 +50,13 @@
 	// waiting, if set, makes each request wait for its permit until its caller
 	// leaves; it receives a signal when a request begins to wait.
 	waiting chan struct{}
+	// beforePermit, if set, is called with each request for a permit.
+	beforePermit func(admission.Request)
+	// latest, if set, replaces view; current is what the handler's Current returns.
+	latest  atomic.Pointer[fleet.View]
+	current atomic.Bool
+	log     logBuffer
+	metrics tally.TestScope
 
 	mu      sync.Mutex
 	next    int
@@ -66,6 +74,9 @@
 		<-ctx.Done()
 		return permits.Permit{}, ctx.Err()
 	}
+	if f.beforePermit != nil {
+		f.beforePermit(r)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.askedAt = time.Now()
@@ -127,9 +138,10 @@
 	f.pools = forward.NewPools(target.PoolOptions{
 		RequestIDHeader: "Attempt-Id", Unframed: true, SkipStray: true, DialTimeout: eventTimeout, MaxIdle: time.Second,
 	})
+	f.metrics = tally.NewTestScope("", nil)
 	handler := forward.New(forward.Config{
-		Domain: "a", Dialect: platform.Dialect{}, Permits: f, View: func() *fleet.View { return f.view }, Pools: f.pools,
-		StopBy: func() time.Time { return f.stopBy }, Logger: zerolog.Nop(),
+		Domain: "a", Dialect: platform.Dialect{}, Permits: f, View: f.latestView, Current: f.current.Load, Pools: f.pools,
+		StopBy: func() time.Time { return f.stopBy }, Logger: zerolog.New(&f.log), Metrics: f.metrics,
 	})
 	f.handler, f.inFlight = handler, handler.InFlight
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -143,6 +155,31 @@
 	return f
 }
 
+func (f *fixture) latestView() *fleet.View {
+	if view := f.latest.Load(); view != nil {
+		return view
+	}
+	return f.view
+}
+
+// logBuffer is a log that is written concurrently.
+type logBuffer struct {
+	mu      sync.Mutex
+	content bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.content.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.content.String()
+}
+
 func (f *fixture) addTarget(t *testing.T, id, fault string) {
 	server := fencetarget.New(fencetarget.Settings{ID: id, Work: 5 * time.Millisecond, Fault: func(*http.Request) string { return fault }})
 	listener := httptest.NewServer(server)
--- a/internal/testutil/fencetarget/fencetarget.go
+++ b/internal/testutil/fencetarget/fencetarget.go
@@ -49,6 +49,7 @@
 type Run struct {
 	Attempt, Method, Path, Body string
 	Key                         int
+	Header                      http.Header
 	At                          time.Time
 }
 
@@ -294,6 +295,7 @@
 	t.running++
 	t.working[key]++
 	t.runs = append(t.runs, Run{
+		Header:  r.Header,
 		Attempt: r.Header.Get("Attempt-Id"), Method: r.Method, Path: r.URL.RequestURI(), Body: body, Key: key, At: time.Now(),
 	})
 	return 0
