--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -172,7 +172,7 @@
 	})
 	g.handler = forward.New(forward.Config{
 		Domain: g.settings.FailureDomain, Dialect: platform.Dialect, Permits: g.desk, View: g.view.Load,
-		Current: g.current, Pools: g.pools, StopBy: g.stopEnd, Logger: g.logger, Metrics: g.metrics.Scope,
+		Current: g.coordinator.Current, Pools: g.pools, StopBy: g.stopEnd, Logger: g.logger, Metrics: g.metrics.Scope,
 	})
 	g.callers = &caller.Server{
 		Handler: g.handler, Limits: g.callerLimits, FirstRequestWait: firstRequestWait, Refusal: g.handler.Refusal(),
@@ -217,12 +217,6 @@
 // ignores the VM and reports whether the leader's heartbeats arrive.
 func (g *Gateway) brokerAlive(string) bool { return g.coordinator.ReceivesHeartbeats() }
 
-// current reports whether this VM is sure that it has the latest configuration: it leads, or
-// hears the leader.
-func (g *Gateway) current() bool {
-	return g.view.Load().Leader.Incarnation == g.self.Incarnation || g.coordinator.ReceivesHeartbeats()
-}
-
 func (g *Gateway) publish(view *fleet.View) {
 	previous := g.view.Swap(view)
 	g.desk.Update(view)
