--- a/internal/process/coordinator/propagation_test.go
+++ b/internal/process/coordinator/propagation_test.go
@@ -87,7 +87,8 @@
 		w.withLock(func() { w.delaysMessages = true })
 		leader, _ := w.leader()
 		isolated := otherThan(leader)
-		w.withLock(func() { w.cut[leader+">"+isolated] = true })
+		// From here on nobody learns anything new of the store.
+		w.withLock(func() { w.cut[leader+">"+isolated], w.outage = true, true })
 		time.Sleep(4 * time.Second)
 		w.killNode(leader)
 		w.withLock(func() { delete(w.cut, leader+">"+isolated) })
