--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -346,7 +346,7 @@
 		return Observation{}, false
 	}
 	t := p.targets[id]
-	return Observation{Slowness: t.slowness, FailureShare: t.failures, Running: t.running}, true
+	return Observation{Slowness: t.steadySlowness, FailureShare: t.failures, Running: t.running}, true
 }
 
 // Work returns the expected work of one request of a class in seconds; 0 if
--- a/internal/request/admission/load_test.go
+++ b/internal/request/admission/load_test.go
@@ -1,7 +1,9 @@
 package admission_test
 
 import (
+	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"sort"
 	"testing"
@@ -231,6 +233,53 @@
 	assert.Assert(t, p.share(anyRequest, (*simulatedRequest).inAim) > 0.97, "%f", p.share(anyRequest, (*simulatedRequest).inAim))
 }
 
+// TestObservedSlownessIsSteady guards against keys that move because single requests take
+// longer: with work that spreads by half and is seven times longer once in 33, the observed
+// slowness of equal targets stays within a quarter of their mean, which is what moves keys.
+// A target that turns three times slower is still seen within 2 s.
+func TestObservedSlownessIsSteady(t *testing.T) {
+	const targets, slowFrom = 8, 30 * time.Second
+	p := newSimulation(defaultConfig(), fleetOf(fleet.Service{Name: "s", Keyed: true}, targets))
+	p.slowness = func(target string, now time.Time) float64 {
+		x := math.Exp(0.5 * p.random.NormFloat64())
+		if p.random.Float64() < 0.03 {
+			x *= 7
+		}
+		if target == "t0" && now.Sub(p.start) >= slowFrom {
+			x *= 3
+		}
+		return x
+	}
+	l := withRate(browse, targets*12)
+	l.key = func(r *rand.Rand) uint16 { return uint16(r.IntN(fleet.Keys)) }
+	l.aim, l.deadline = time.Second, 3*time.Second
+	p.scheduleLoad(l, 0, slowFrom+2*time.Second)
+	// The mean work of the class is measured first.
+	const settled = 10 * time.Second
+	outside, looked := 0, 0
+	for at := settled; at < slowFrom; at += 250 * time.Millisecond {
+		p.schedule(p.start.Add(at), func() {
+			slowness, sum := make([]float64, targets), 0.0
+			for i := range slowness {
+				observed, _ := p.broker.Observe("s", fmt.Sprintf("t%d", i))
+				slowness[i] = observed.Slowness
+				sum += observed.Slowness
+			}
+			for _, s := range slowness {
+				looked++
+				if s > 1.25*sum/targets || s < 0.75*sum/targets {
+					outside++
+				}
+			}
+		})
+	}
+	p.runUntil(slowFrom + 2*time.Second)
+	assert.Check(t, float64(outside) < 0.1*float64(looked), "%d of %d times a target looked slower or quicker than the others", outside, looked)
+	slow, _ := p.broker.Observe("s", "t0")
+	usual, _ := p.broker.Observe("s", "t1")
+	assert.Check(t, slow.Slowness > 1.5*usual.Slowness, "%f, another target %f", slow.Slowness, usual.Slowness)
+}
+
 // TestFailingTargetGetsLess checks that a target that refuses nearly half of its
 // requests, while its health checks pass, gets few requests but is tried again.
 func TestFailingTargetGetsLess(t *testing.T) {
--- a/internal/request/admission/target.go
+++ b/internal/request/admission/target.go
@@ -17,6 +17,11 @@
 	// failureWeight is the weight of a new result in the moving average of a
 	// target's share of failures.
 	failureWeight = 0.15
+	// steadySlownessWeight is the weight of a new sample in the moving average that decides
+	// how many keys a target owns, and maxSteadySlowness bounds its samples. Single requests
+	// differ by a factor of several; an average that follows them moves keys for nothing.
+	steadySlownessWeight = 0.05
+	maxSteadySlowness    = 4
 	// maxSlowness bounds a sample, so that a single slow answer has limited effect.
 	maxSlowness = 12
 	// minSlowness bounds a sample, so that an unusually quick answer does not
@@ -59,6 +64,8 @@
 	freeIndex int
 	// slowness is the measured service time relative to the mean of the service.
 	slowness float64
+	// steadySlowness is the same, averaged over more answers.
+	steadySlowness float64
 	// failures is the recent share of requests that failed or were refused, from
 	// 0 to 1.
 	failures float64
@@ -84,7 +91,7 @@
 }
 
 func newTarget(declared *fleet.Target, now time.Time) *target {
-	return &target{Target: *declared, freeIndex: notFree, slowness: 1, pace: 1, measuredAt: now, lastSent: map[string]time.Time{}}
+	return &target{Target: *declared, freeIndex: notFree, slowness: 1, steadySlowness: 1, pace: 1, measuredAt: now, lastSent: map[string]time.Time{}}
 }
 
 // relativeTime returns the expected service time relative to the mean of the
@@ -130,6 +137,7 @@
 	}
 	ratio = min(max(ratio, minSlowness), maxSlowness)
 	t.slowness += slownessWeight * (ratio - t.slowness)
+	t.steadySlowness += steadySlownessWeight * (min(ratio, maxSteadySlowness) - t.steadySlowness)
 }
 
 // recordOutcome updates the share of failures with a result.
@@ -152,6 +160,7 @@
 	}
 	keep := math.Exp(-idleDecayRate * idle)
 	t.slowness = 1 + (t.slowness-1)*keep
+	t.steadySlowness = 1 + (t.steadySlowness-1)*keep
 	t.failures *= keep
 }
 
