--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -99,6 +99,9 @@
 	// localUntil is the time before which only targets in the request's own
 	// failure domain may run it; zero if any target may.
 	localUntil time.Time
+	// turn orders the waiting requests of a priority; turnCost is the distance to the next
+	// turn of the team, 0 without teams.
+	turn, turnCost float64
 }
 
 // Decision is the answer to a request: a permit for a target, or a refusal.
@@ -170,6 +173,8 @@
 	// another may have decided.
 	termSince time.Time
 	pools     map[string]*pool
+	// turnCosts are the costs of a turn by team; nil without teams.
+	turnCosts map[string]float64
 	// permits holds the permits of the requests in flight.
 	permits map[ID]*permit
 }
@@ -206,6 +211,7 @@
 			p.updateOwners(view, now)
 		}
 	} else {
+		b.turnCosts = turnCosts(view.Config)
 		b.updateTargets(view, now)
 	}
 	b.Tick(now)
@@ -246,7 +252,7 @@
 		b.config.Decide(Decision{ID: r.ID, Refused: NoTarget, RetryAfter: minRetryAfter})
 		return
 	}
-	r.arrived = now
+	r.arrived, r.turn, r.turnCost = now, 0, b.turnCost(r.Team)
 	p.ask(&r, now)
 }
 
--- a/internal/request/admission/choice.go
+++ b/internal/request/admission/choice.go
@@ -268,7 +268,7 @@
 		return seconds(p.classWork(r.Class, r.Aim.Sub(now))), p.service.Keyed && p.anyTarget(r)
 	}
 	slotInterval := time.Duration(float64(holdTime) / float64(slots))
-	wait := time.Duration(q.position(r))*slotInterval + slotInterval/2
+	wait := time.Duration(q.ahead(r, now.Add(holdTime)))*slotInterval + slotInterval/2
 	if !now.Add(wait + holdTime).After(r.Aim) {
 		return wait, true
 	}
--- a/internal/request/admission/pool.go
+++ b/internal/request/admission/pool.go
@@ -290,7 +290,7 @@
 		if r == nil {
 			return
 		}
-		q.remove(r)
+		q.take(r)
 		delete(p.waiting, r.ID)
 		p.grant(r, t, now)
 	}
--- a/internal/request/admission/simulation_test.go
+++ b/internal/request/admission/simulation_test.go
@@ -116,6 +116,7 @@
 	domain    string
 	large     bool
 	key       func(*rand.Rand) uint16
+	team      string
 }
 
 // scheduleLoad schedules the arrivals of a load between two times after the start.
@@ -142,6 +143,7 @@
 		Request: admission.Request{
 			ID: admission.ID{VM: fmt.Sprint("vm", p.random.IntN(max(p.vms, 1))), Number: p.number}, Service: l.service, Class: l.class, Domain: l.domain,
 			Priority: l.priority, Aim: p.now.Add(l.aim), Deadline: p.now.Add(l.deadline), Large: l.large, Repeat: repeat,
+			Team: l.team,
 		},
 	}
 	if l.key != nil {
