--- a/internal/testutil/deployment/caller.go
+++ b/internal/testutil/deployment/caller.go
@@ -32,6 +32,8 @@
 type Caller struct {
 	address string
 	client  *http.Client
+	// AccessKey is the access key that requests carry, if any.
+	AccessKey string
 }
 
 // Caller returns a caller of a VM.
@@ -55,6 +57,9 @@
 	request.Header.Set("Attempt-Id", r.Attempt)
 	request.Header.Set("Request-Deadline", "2500")
 	request.Header.Set("Shard-Key", fmt.Sprint(key))
+	if c.AccessKey != "" {
+		request.Header.Set("Credential", c.AccessKey)
+	}
 	r.Began = time.Now()
 	response, err := c.client.Do(request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(got httptrace.GotConnInfo) { r.Kept = got.Reused },
--- a/internal/testutil/deployment/deployment.go
+++ b/internal/testutil/deployment/deployment.go
@@ -41,6 +41,9 @@
 	proxy *faultproxy.Proxy
 	Store *platformstub.Stub
 	store string
+	// Teams holds the access keys of each team; the next Configure declares them. If there
+	// are any, routes are not public.
+	Teams map[string][]string
 
 	mu      sync.Mutex
 	VMs     []*VM
@@ -122,7 +125,12 @@
 			"name": name, "healthPath": "/health", "maxConnections": 200, "warmup": "3s", "warmupPerS": ColdRate, "sharded": keyed, "warm": "1s",
 		}
 	}
+	var teams []any
+	for name, keys := range d.Teams {
+		teams = append(teams, map[string]any{"name": name, "apiKeys": keys, "priority": 1, "ratePerS": 1000, "burst": 1000})
+	}
 	d.Store.Set("config", "main", map[string]any{
+		"tenants":   teams,
 		"version":   fmt.Sprintf("%08x", d.version),
 		"limits":    map[string]any{"headerBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3s", "idleTimeout": "15s"},
 		"listeners": []any{map[string]any{"host": Host, "routeRules": routes}},
