--- a/internal/request/forward/teams_test.go
+++ b/internal/request/forward/teams_test.go
@@ -88,7 +88,7 @@
 		{name: "empty key", path: "/once/", lines: "Credential:\r\n", status: 401, label: "none"},
 		{name: "two keys", path: "/once/", lines: keyA + keyB, status: 401, label: "none"},
 		{name: "a name without a key", path: "/once/", lines: "Tenant-Name: team-a\r\n", status: 401, label: "none"},
-		{name: "another team's name", path: "/once/", lines: keyA + "Tenant-Name: team-b\r\ntenant-name: x\r\n", status: 200, team: "team-a", priority: 1000, label: "team-a"},
+		{name: "another team's name", path: "/once/", lines: keyA + "Tenant-Name: team-b\r\ntenant-name: x\r\ntenant_name: y\r\n", status: 200, team: "team-a", priority: 1000, label: "team-a"},
 		{name: "headers of the connection", path: "/once/", lines: keyA + "Connection: Credential, Tenant-Name\r\n", status: 200, team: "team-a", priority: 1000, label: "team-a"},
 		{name: "public route", path: "/safe/", lines: "Tenant-Name: team-b\r\n", status: 200, priority: 3000, label: "none"},
 		{name: "public route, unknown key", path: "/safe/", lines: "Credential: secret-a\r\n", status: 200, priority: 3000, label: "none"},
@@ -110,6 +110,7 @@
 			if c.status == 200 {
 				assert.Equal(t, strings.Join(f.runs()[0].Header["Tenant-Name"], "|"), c.team)
 				assert.Equal(t, len(f.runs()[0].Header["Credential"]) > 0, c.noTeams)
+				assert.Equal(t, len(f.runs()[0].Header["Tenant_name"]), 0)
 				assert.Equal(t, asked.Priority, c.priority)
 			} else {
 				assert.Equal(t, len(f.runs()), 0)
