--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -97,6 +97,8 @@
 	// new leader in the record sets it to the recent past, so that this leader has time
 	// to send its first heartbeat.
 	heartbeatAt time.Time
+	// freshness is the age of the view, for readers outside the loop; nil at the start.
+	freshness atomic.Pointer[freshness]
 	// sharedHeartbeatAt is the arrival of the last heartbeat for readers outside the loop;
 	// nil before the first one.
 	sharedHeartbeatAt atomic.Pointer[time.Time]
@@ -143,6 +145,7 @@
 	c.observer = observer.New(observer.Config{
 		Names: config.Names, Store: config.Store, Loop: config.Loop, Logger: config.Logger,
 		Changed: c.declarationsChanged, Contact: c.noteStoreAnswer,
+		Uptime: config.Uptime,
 	})
 	return c
 }
@@ -198,7 +201,8 @@
 	c.publishObserved()
 }
 
-// noteStoreAnswer records on a leader whether a call to the store was answered.
+// noteStoreAnswer records on a leader whether a call of the observer to the store was
+// answered.
 func (c *Coordinator) noteStoreAnswer(err error) {
 	if c.lead != nil {
 		c.lead.noteStoreAnswer(err, time.Now())
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -49,7 +49,7 @@
 	}
 	if silentFor > watchStoreAfter && now.Sub(c.startedAt) > watchStoreAfter && !c.observer.Watching() {
 		c.observer.Seed(c.view)
-		c.observer.Start(c.ctx, c.storeFailedAt)
+		c.observer.Start(c.ctx)
 	}
 	if c.observer.Watching() && c.observer.Tick(now) {
 		c.publishObserved()
@@ -69,6 +69,7 @@
 	c.config.Sender.Send(c.view.Leader.VM, &peerv1.Control{Kind: &peerv1.Control_MemberReport{MemberReport: &peerv1.MemberReport{
 		Term: c.view.Term, Address: c.config.Self.Address, ProcessorMillis: c.config.Self.Processor,
 		FailureDomain: c.config.Self.FailureDomain, Have: proto.Clone(c.haveVersions).(*peerv1.PartVersions), HeardMillis: c.leaderUptimeMillis,
+		SentMillis: uint64(c.config.Uptime().Milliseconds()),
 	}}})
 }
 
@@ -114,6 +115,7 @@
 		c.applyParts(&view, state, now)
 		c.publish(&view)
 	}
+	c.noteKnowledge(state)
 	if !now.Before(c.reportAt) {
 		c.report(now)
 	}
@@ -302,6 +304,7 @@
 func (c *Coordinator) leaderChecked(record *fleet.Record, revision int64, err error, e evidence) {
 	c.checking = false
 	now := time.Now()
+	c.observer.NoteStoreAnswer(err, now)
 	c.checkAt = now.Add(c.checkPause)
 	c.checkPause = min(2*c.checkPause, checkPauseMax)
 	switch {
