--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -81,14 +81,15 @@
 
 // Do sends the request and returns the answer as soon as its head has been read.
 // When the context ends the connection is reset, even while the body is being read; after
-// a deadline, an answer that has arrived by then is still read.
+// a deadline, or a cancellation with context.DeadlineExceeded as its cause, an answer that
+// has arrived by then is still read.
 // The error is always an *ExchangeError. If streamed is true, the request's body may
 // be slow: the answer is then read while the request is still being sent.
 func (e *Exchange) Do(ctx context.Context, request *http.Request, streamed bool) (*Answer, error) {
 	c := e.connection
 	c.socket.accepted = 0
 	run := &exchangeRun{pool: e.pool, connection: c, requestID: request.Header.Get(e.pool.options.RequestIDHeader), method: request.Method}
-	run.stop = context.AfterFunc(ctx, func() { c.socket.giveUp(ctx.Err()) })
+	run.stop = context.AfterFunc(ctx, func() { c.socket.giveUp(context.Cause(ctx)) })
 	answer, err := run.perform(request, streamed)
 	if err != nil {
 		run.abandon()
--- a/internal/process/events/routing.go
+++ b/internal/process/events/routing.go
@@ -25,5 +25,8 @@
 	RequestTurnedAway = register(2102, "request-turned-away", zerolog.WarnLevel, "A request was refused as not run; the line has the reason and the time after which the caller may retry.")
 	RequestFailed     = register(2103, "request-failed", zerolog.WarnLevel, "This VM ended a request with a status of its own that does not state that the request was not run.")
 	AttemptFailed     = register(2104, "attempt-failed", zerolog.InfoLevel, "An attempt at a target ended without a usable response; the line has the result and whether the request may have run.")
+	TargetLeaving     = register(2120, "target-leaving", zerolog.InfoLevel, "A target has said in a response that it is leaving; this VM sends it no more requests.")
+	TargetBackoff     = register(2121, "target-backoff", zerolog.InfoLevel, "A target that refused a request has asked for a back-off; until its end this VM sends it no requests. Logged once for each back-off.")
+	TargetSilent      = register(2122, "target-silent", zerolog.WarnLevel, "A target has not answered a request, though it answers others: it drops what it cannot queue. It gets no requests until it answers or a back-off has passed.")
 	CallerLeft        = register(2105, "caller-left", zerolog.InfoLevel, "A caller closed its connection before it had received its response.")
 )
--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -24,6 +24,12 @@
 	replyTimeout = 60 * time.Millisecond
 	// brokerBackoff is how long a broker is not asked after it has failed to reply.
 	brokerBackoff = 500 * time.Millisecond
+	// maxUnusedPermits limits how often a request asks again because its permit is for a
+	// target that has said that it must get none. One is normal, since the broker learns of
+	// it with the return of the permit; more mean a broker that does not listen.
+	maxUnusedPermits = 4
+	// unusedRetryAfter is the retry delay suggested to callers after that.
+	unusedRetryAfter = brokerBackoff
 	// resendAfter is how long a request that only the broker can decide waits for the
 	// first reply before it is sent again: the message may have been lost with its
 	// session.
@@ -86,7 +92,9 @@
 	queued       map[uint64]bool
 	backoffUntil map[string]time.Time
 	doubts       doubts
-	ticking      bool
+	// reported has a lock of its own.
+	reported *reported
+	ticking  bool
 	// replies are the messages to send after mu has been released.
 	replies []reply
 }
@@ -102,7 +110,7 @@
 	d := &Desk{
 		config: config, demand: map[string]*keyspace.Load{}, pending: map[uint64]chan admission.Decision{},
 		queued: map[uint64]bool{}, backoffUntil: map[string]time.Time{}, applied: map[*admission.Broker]*fleet.View{},
-		doubts: doubts{},
+		doubts: doubts{}, reported: newReported(),
 	}
 	d.number.Store(rand.Uint64N(initialNumberRange))
 	brokerConfig := config.Broker
@@ -114,6 +122,7 @@
 	fallbackConfig.Cautious = true
 	// The fallback decides under mu.
 	fallbackConfig.Doubt = func(life fleet.Life, now time.Time) bool { return d.doubts.about(life, now) }
+	fallbackConfig.Restricted = d.reported.restriction
 	d.fallback = admission.New(fallbackConfig)
 	return d
 }
@@ -152,6 +161,18 @@
 // Acquire requests a permit and waits for the decision, which may be a refusal. It
 // assigns the ID of the request. The only error is that of the context.
 func (d *Desk) Acquire(ctx context.Context, r admission.Request) (Permit, error) {
+	for range maxUnusedPermits {
+		permit, err := d.acquire(ctx, r)
+		if err != nil || permit.Refused != "" || d.MaySend(permit.Target) {
+			return permit, err
+		}
+		d.End(permit, admission.Canceled, 0, fleet.Load{}, false)
+	}
+	return Permit{Decision: admission.Decision{Refused: admission.NoTarget, RetryAfter: unusedRetryAfter}}, nil
+}
+
+// acquire is like Acquire, but the target may have said that it must get no requests.
+func (d *Desk) acquire(ctx context.Context, r admission.Request) (Permit, error) {
 	for {
 		broker := d.config.View().Brokers[r.Service]
 		switch {
@@ -193,7 +214,7 @@
 		return false
 	}
 	warm := func(t *fleet.Target) bool {
-		return view.Usable(t) && !now.Before(t.ColdUntil) && !d.doubtful(t.Life, now)
+		return view.Usable(t) && !now.Before(t.ColdUntil) && !d.doubtful(t.Life, now) && d.MaySend(t.Life)
 	}
 	if service := view.Config.Service(r.Service); service != nil && service.Keyed {
 		slice := fleet.Find(view.Slices[r.Service], r.Key)
@@ -322,6 +343,7 @@
 		d.doubt(p.Target, time.Now())
 	}
 	end := admission.End{ID: p.ID, Result: result, Took: took, Load: load, HasLoad: hasLoad}
+	d.reported.addTo(&end, p.Target, time.Now())
 	switch p.Broker {
 	case "":
 		d.endLocal(d.fallback, end)
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -62,6 +62,8 @@
 	Canceled
 	// Failed: the target answered with an error.
 	Failed
+	// Unanswered: the target did not answer in time, though it runs: it was full.
+	Unanswered
 )
 
 // ID identifies a request across all VMs.
@@ -127,6 +129,14 @@
 	Rest time.Duration
 }
 
+// Restriction is what keeps requests from a target, by its own word or by its silence.
+type Restriction struct {
+	// Leaving is set if the target is leaving.
+	Leaving bool
+	// Until is when the target takes requests again.
+	Until time.Time
+}
+
 // Budget bounds the repeated requests of a service: within Window, Allowance
 // plus Ratio times the number of first attempts.
 type Budget struct {
@@ -154,6 +164,11 @@
 	// Doubt, if set, reports whether a target may have restarted unseen. A cautious broker
 	// treats it as cold.
 	Doubt func(target fleet.Life, now time.Time) bool
+	// Restricted, if set, returns what is known of a target besides the ends of permits.
+	Restricted func(target fleet.Life) Restriction
+	// Leaving, if set, is called when the end of a permit first says that its target is
+	// leaving.
+	Leaving func(target fleet.Life)
 	// NotOwner, if set, is called when a target has refused a request because
 	// it does not own the key.
 	NotOwner func(service string, key uint16, target fleet.Life)
--- a/internal/request/admission/blocked.go
+++ b/internal/request/admission/blocked.go
@@ -57,16 +57,20 @@
 	if i < len(p.blocked) && p.blocked[i].first <= r.Key {
 		return now.Sub(p.blocked[i].since)
 	}
-	if t := p.owner(r.Key); t != nil && now.Before(t.backoffUntil) {
+	t := p.owner(r.Key)
+	switch {
+	case t != nil && now.Before(t.backoffUntil):
 		return now.Sub(t.unreachableSince)
+	case t != nil && now.Before(t.silentUntil):
+		return now.Sub(t.silentSince)
 	}
 	return 0
 }
 
 // blockedTooLong reports whether a request will probably be too late by the time at which
-// the owner of its key takes requests again.
+// the owner of its key, or any target of a service without keys, takes requests again.
 func (p *pool) blockedTooLong(r *Request, now time.Time) (expected time.Duration, tooLong bool) {
-	expected = p.blockedFor(r, now)
+	expected = max(p.blockedFor(r, now), p.restLeft(r, now))
 	work := seconds(p.classWork(r.Class, r.Aim.Sub(r.arrived))) + transitTime
 	return expected, expected > 0 && now.Add(expected+work).After(r.Deadline)
 }
--- a/internal/request/admission/choice.go
+++ b/internal/request/admission/choice.go
@@ -77,7 +77,7 @@
 		return
 	}
 	for _, t := range p.targets {
-		if t.usable && t.FailureDomain == r.Domain && !t.connectionRefused && now.After(t.backoffUntil) {
+		if t.FailureDomain == r.Domain && !t.connectionRefused && p.open(t, now) {
 			r.localUntil = now.Add(time.Duration(localWaitShare * float64(spare)))
 			return
 		}
@@ -91,7 +91,7 @@
 		return p.ownerID(r.Key) != ""
 	}
 	for _, t := range p.targets {
-		if t.usable {
+		if t.usable && !p.leaving(t) {
 			return true
 		}
 	}
@@ -100,7 +100,7 @@
 
 // canStart reports whether a target can start a request now.
 func (p *pool) canStart(t *target, now time.Time) bool {
-	if !t.usable || t.running >= t.Slots || now.Before(t.backoffUntil) {
+	if t.running >= t.Slots || !p.open(t, now) || t.silent && t.running > 0 {
 		return false
 	}
 	if p.broker.config.Cautious {
@@ -195,7 +195,7 @@
 	}
 	seen := 0
 	for other := range p.targetsFor(r.ID.VM) {
-		if other == t || !other.usable || now.Before(other.backoffUntil) || !p.eligible(r, other, now) {
+		if other == t || !p.open(other, now) || !p.eligible(r, other, now) {
 			continue
 		}
 		if !now.Add(p.expectedTime(r, other, now)).After(r.Aim) {
@@ -213,7 +213,7 @@
 func (p *pool) capacity(r *Request, now time.Time) (slots int, holdTime time.Duration) {
 	if p.service.Keyed {
 		t := p.targets[p.ownerID(r.Key)]
-		if t == nil || !t.usable {
+		if t == nil || !t.usable || p.leaving(t) {
 			return 0, 0
 		}
 		return t.Slots, p.expectedTime(r, t, now)
@@ -238,7 +238,7 @@
 func (p *pool) sumCapacity(r *Request, now time.Time) capacity {
 	sum, rate := capacity{at: now}, 0.0
 	for _, t := range p.sortedTargets {
-		if t.usable && now.After(t.backoffUntil) {
+		if p.open(t, now) {
 			sum.slots += t.Slots
 			rate += float64(t.Slots) / p.expectedTime(r, t, now).Seconds()
 		}
@@ -261,14 +261,20 @@
 	if expected, tooLong := p.blockedTooLong(r, now); tooLong {
 		return expected, false
 	}
+	rest := p.restLeft(r, now)
 	slots, holdTime := p.capacity(r, now)
+	if slots == 0 && rest > 0 {
+		work := p.classWork(r.Class, r.Aim.Sub(now))
+		wait := rest + seconds(float64(q.position(r))*work/float64(max(p.slots, 1)))
+		return wait, !now.Add(wait + seconds(work) + transitTime).After(r.Deadline)
+	}
 	if slots == 0 {
 		// No usable target owns the key: its slice or its owner is being moved.
 		// Most moves take less time than one request, so the request waits.
 		return seconds(p.classWork(r.Class, r.Aim.Sub(now))), p.service.Keyed && p.anyTarget(r)
 	}
 	slotInterval := time.Duration(float64(holdTime) / float64(slots))
-	wait := time.Duration(q.position(r))*slotInterval + slotInterval/2
+	wait := rest + time.Duration(q.position(r))*slotInterval + slotInterval/2
 	if !now.Add(wait + holdTime).After(r.Aim) {
 		return wait, true
 	}
@@ -277,6 +283,6 @@
 	if utilisation >= overloadUtilisation {
 		return wait, false
 	}
-	wait = time.Duration(float64(time.Duration(len(q.waiters)+1)*slotInterval) / (1 - utilisation))
+	wait = rest + time.Duration(float64(time.Duration(len(q.waiters)+1)*slotInterval)/(1-utilisation))
 	return wait, !now.Add(wait + holdTime).After(r.Deadline)
 }
--- a/internal/request/admission/pool.go
+++ b/internal/request/admission/pool.go
@@ -322,6 +322,7 @@
 		t.pace, t.paceAt = float64(end.Load.Pace)/100, now
 	}
 	p.recordResult(granted, end, now)
+	p.recordNotice(t, end, now)
 	if p.service == nil {
 		return
 	}
@@ -357,6 +358,9 @@
 		if work := p.classWork(class, 0); work > 0 {
 			t.recordServiceTime(now.Sub(granted.grantedAt), work, now)
 		}
+	case Unanswered:
+		t.recordOutcome(true, now)
+		t.fallSilent(max(granted.request.Aim.Sub(granted.request.arrived), connectBackoff), now)
 	case Refused:
 		t.recordOutcome(true, now)
 		t.connectionRefused = true
--- a/internal/request/admission/simulation_test.go
+++ b/internal/request/admission/simulation_test.go
@@ -29,6 +29,8 @@
 	slowness func(target string, now time.Time) float64
 	// fails reports whether a target refuses a request.
 	fails func(target string) bool
+	// notice, if set, adds what a target says of itself to the end of a request.
+	notice func(target string, end *admission.End)
 	// inFlight holds the requests that are queued or in flight, done the finished ones.
 	inFlight map[uint64]*simulatedRequest
 	done     []*simulatedRequest
@@ -171,7 +173,11 @@
 	}
 	p.schedule(p.now.Add(took), func() {
 		r.endedAt = p.now
-		p.broker.End(admission.End{ID: d.ID, Result: result, Took: took}, p.now)
+		end := admission.End{ID: d.ID, Result: result, Took: took}
+		if p.notice != nil {
+			p.notice(r.target, &end)
+		}
+		p.broker.End(end, p.now)
 		p.finish(r)
 	})
 }
--- a/internal/request/admission/target.go
+++ b/internal/request/admission/target.go
@@ -77,6 +77,14 @@
 	backoffUntil     time.Time
 	connectFailures  int
 	unreachableSince time.Time
+	// leaving is set once the target has said that it is leaving, whatever the view says.
+	leaving bool
+	// restUntil is the time until which the target has asked to get no requests.
+	restUntil time.Time
+	// silent is set after a request that the target did not answer, until it has answered
+	// something. Until silentUntil it gets no requests, and after that one at a time.
+	silent                   bool
+	silentUntil, silentSince time.Time
 	// coldStarts holds when requests were recently permitted while the target is cold.
 	coldStarts []time.Time
 	// lastSent is when each VM was last permitted to send a request to the target.
--- a/internal/request/forward/body.go
+++ b/internal/request/forward/body.go
@@ -98,6 +98,13 @@
 	return !b.dropped && (b.err == nil || b.err == io.EOF)
 }
 
+// read reports whether the whole body has been read from the caller.
+func (b *replayBody) read() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.empty || b.err == io.EOF
+}
+
 // newReader returns the body for the next attempt. Readers of earlier attempts fail
 // from then on.
 func (b *replayBody) newReader() io.ReadCloser {
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -76,7 +76,7 @@
 			return
 		}
 		x.target = permit.Target.ID
-		o := x.attempt(permit)
+		o := x.attempt(permit, repeatable && tries+1 < maxTries)
 		if o.response != nil {
 			x.deliver(permit, o.response)
 			return
@@ -117,27 +117,41 @@
 }
 
 // attempt sends the request to the target of a permit. If the outcome has a
-// response, the permit is left to deliver; otherwise it has been given back.
-func (x *exchange) attempt(permit permits.Permit) outcome {
+// response, the permit is left to deliver; otherwise it has been given back. another is set
+// if the request may be sent once more if no response arrives.
+func (x *exchange) attempt(permit permits.Permit, another bool) outcome {
 	view := x.handler.config.View()
 	t := view.Targets[permit.Target.ID]
 	if t == nil || t.Life != permit.Target || !view.Usable(t) {
 		return x.endAttempt(permit, outcome{result: admission.Canceled, cause: errStalePermit}, 0)
 	}
-	ctx, cancel := context.WithCancel(x.ctx)
+	ctx, cancelCause := context.WithCancelCause(x.ctx)
+	cancel := func() { cancelCause(nil) }
 	connection, err := x.handler.config.Pools.reserve(ctx, t)
 	if err != nil {
 		cancel()
 		return x.endAttempt(permit, outcome{result: dialResult(err), cause: err}, 0)
 	}
+	if !x.handler.config.Permits.MaySend(t.Life) {
+		connection.Return()
+		cancel()
+		return x.endAttempt(permit, outcome{result: admission.Canceled, cause: errRestricted}, 0)
+	}
 	began := time.Now()
+	stopWait := x.limitWait(t, began, another, cancelCause)
 	got, err := connection.Do(ctx, x.outgoingRequest(ctx, t), x.body.streamed())
+	stopWait()
 	took := time.Since(began)
 	if err != nil {
-		expired := ctx.Err() != nil
+		expired, late := ctx.Err() != nil, context.Cause(ctx) == context.DeadlineExceeded
 		cancel()
-		return x.endAttempt(permit, x.failureOutcome(err, expired), took)
+		o := x.failureOutcome(err, expired)
+		if o.result == admission.Timeout && late && x.unanswered(t, began, took) {
+			o.result = admission.Unanswered
+		}
+		return x.endAttempt(permit, o, took)
 	}
+	x.recordNotice(t, began, got)
 	return x.handleResponse(permit, got, took, cancel)
 }
 
@@ -193,6 +207,8 @@
 
 var errUnsigned = errors.New("the target's success response is not signed")
 
+var errRestricted = errors.New("the target of the permit has said that it takes no requests")
+
 var errStalePermit = errors.New("the target of the permit no longer accepts requests")
 
 // endAttempt gives back the permit of an attempt without a response to pass on.
@@ -264,7 +280,7 @@
 		return
 	}
 	status := http.StatusBadGateway
-	if o.result == admission.Timeout {
+	if o.result == admission.Timeout || o.result == admission.Unanswered {
 		status = http.StatusGatewayTimeout
 	}
 	x.respondError(status, "target-lost")
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -60,6 +60,11 @@
 	Signed(http.Header) bool
 	// Load returns the load that a target reports with a response; false if none.
 	Load(http.Header) (fleet.Load, bool)
+	// Leaving reports whether a target says with a response that it is leaving.
+	Leaving(http.Header) bool
+	// Rest returns for how long a target that has refused a request wants no more; 0 if it
+	// does not say.
+	Rest(status int, h http.Header) time.Duration
 	// RetryAfter sets the delay before a retry that is suggested to the caller.
 	RetryAfter(h http.Header, after time.Duration)
 }
@@ -71,6 +76,17 @@
 	// End gives a permit back with the result of the attempt, the time that it took
 	// and, if hasLoad is set, the target's load.
 	End(p permits.Permit, result admission.Result, took time.Duration, load fleet.Load, hasLoad bool)
+	// MaySend reports whether a request may be sent to a target now, by what the target has
+	// said to this VM.
+	MaySend(target fleet.Life) bool
+	// Heard records what a target says with its response to a request that was sent at a
+	// time, and returns what is news.
+	Heard(target fleet.Life, sentAt time.Time, n permits.Notice) (news permits.Notice)
+	// Unanswered records that a target has not answered a request, and reports whether it
+	// probably dropped it because it was full. It then gets no requests for backoff.
+	Unanswered(target *fleet.Target, sentAt time.Time, backoff time.Duration) bool
+	// Hangs reports whether targets of a service are known to drop requests in that way.
+	Hangs(service string) bool
 }
 
 // Config configures a Handler.
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -49,11 +49,15 @@
 	// waiting, if set, makes each request wait for its permit until its caller
 	// leaves; it receives a signal when a request begins to wait.
 	waiting chan struct{}
+	// desk, if set, decides in place of the fixture.
+	desk *permits.Desk
 
 	mu      sync.Mutex
 	next    int
 	refuse  admission.Reason
 	results []admission.Result
+	// restricted are the targets that must get no requests.
+	restricted map[fleet.Life]bool
 	// askedAt is when a permit was last requested.
 	askedAt time.Time
 }
@@ -61,6 +65,9 @@
 // Acquire implements forward.Permits. It gives out permits for the targets in turn, and
 // refuses once all targets are excluded.
 func (f *fixture) Acquire(ctx context.Context, r admission.Request) (permits.Permit, error) {
+	if f.desk != nil {
+		return f.desk.Acquire(ctx, r)
+	}
 	if f.waiting != nil {
 		f.waiting <- struct{}{}
 		<-ctx.Done()
@@ -81,12 +88,41 @@
 }
 
 // End implements forward.Permits.
-func (f *fixture) End(_ permits.Permit, result admission.Result, _ time.Duration, _ fleet.Load, _ bool) {
+func (f *fixture) End(p permits.Permit, result admission.Result, took time.Duration, load fleet.Load, hasLoad bool) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.results = append(f.results, result)
+	f.mu.Unlock()
+	if f.desk != nil {
+		f.desk.End(p, result, took, load, hasLoad)
+	}
+}
+
+// MaySend implements forward.Permits.
+func (f *fixture) MaySend(life fleet.Life) bool {
+	if f.desk != nil {
+		return f.desk.MaySend(life)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.restricted[life]
+}
+
+// Heard implements forward.Permits.
+func (f *fixture) Heard(life fleet.Life, sentAt time.Time, n permits.Notice) permits.Notice {
+	if f.desk != nil {
+		return f.desk.Heard(life, sentAt, n)
+	}
+	return n
 }
 
+// Unanswered implements forward.Permits.
+func (f *fixture) Unanswered(target *fleet.Target, sentAt time.Time, backoff time.Duration) bool {
+	return f.desk != nil && f.desk.Unanswered(target, sentAt, backoff)
+}
+
+// Hangs implements forward.Permits.
+func (f *fixture) Hangs(service string) bool { return f.desk != nil && f.desk.Hangs(service) }
+
 // awaitPermitRequest waits for a request for a permit and returns its time, from which
 // the deadline is counted.
 func (f *fixture) awaitPermitRequest() time.Time {
--- a/internal/request/forward/metrics.go
+++ b/internal/request/forward/metrics.go
@@ -19,13 +19,20 @@
 type metrics struct {
 	scope       tally.Scope
 	callersLeft tally.Counter
+	// leaving, resting and silent count the targets that have said that they are leaving,
+	// the back-offs that targets have asked for, and the requests that a full target left
+	// unanswered.
+	leaving, resting, silent tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	return &metrics{scope: scope, callersLeft: scope.Counter("callers_left")}
+	return &metrics{
+		scope: scope, callersLeft: scope.Counter("callers_left"), leaving: scope.Counter("targets_leaving"),
+		resting: scope.Counter("target_backoffs"), silent: scope.Counter("requests_unanswered"),
+	}
 }
 
 func (m *metrics) answered(route *fleet.Route, took time.Duration, status int) {
--- a/internal/testutil/fencetarget/fencetarget.go
+++ b/internal/testutil/fencetarget/fencetarget.go
@@ -36,6 +36,8 @@
 	// closes, the last one as fast as it can, and "babble" writes on soon after a whole
 	// answer.
 	Fault func(r *http.Request) string
+	// Notice, if set, returns headers that are added to answers and refusals.
+	Notice func() map[string]string
 	// Clock is how long a second of a hold lasts on the target's clock; 0 means 1 s.
 	Clock float64
 	// Late, if set, returns after how long a grant takes effect whose answer is lost; 0
@@ -312,6 +314,7 @@
 func (t *Target) refuse(w http.ResponseWriter, r *http.Request, status int) {
 	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 	w.Header().Set("Not-Executed", "1")
+	t.addNotice(w.Header())
 	w.WriteHeader(status)
 }
 
@@ -329,10 +332,19 @@
 	header.Set("Attempt-Id", attempt)
 	header.Set("Server-Seal", Seal(attempt))
 	header.Set("Server-Load", load)
+	t.addNotice(header)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = io.WriteString(w, body)
 }
 
+func (t *Target) addNotice(h http.Header) {
+	if t.Notice != nil {
+		for name, value := range t.Notice() {
+			h.Set(name, value)
+		}
+	}
+}
+
 // load is the targets' word on their load.
 const load = "1,0,2,100"
 
