--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -131,6 +131,9 @@
 	// checking is set while a check of the record or a takeover is in flight.
 	checking bool
 
+	// saidLeaving are the targets that have said in a response that they are leaving.
+	saidLeaving map[fleet.Life]bool
+
 	// lead is the leader's state; nil on a follower.
 	lead *leadership
 	// leaving is set once this VM is shutting down.
@@ -213,7 +216,7 @@
 		view.Config = config
 	}
 	if c.observer.Complete() {
-		view.Targets, view.Evacuated = c.observer.Targets(), c.observer.Evacuated()
+		view.Targets, view.Evacuated = c.markLeaving(c.observer.Targets()), c.observer.Evacuated()
 		// A diff against the leader's last list no longer applies.
 		c.haveVersions.Targets = 0
 	}
--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -348,6 +348,37 @@
 	})
 }
 
+// TestLeavingTargetIsAnnouncedByItsResponses guards against requests of other VMs, and keys,
+// at a target that says in a response that it is leaving, while its entry does not say so: all
+// VMs know soon, also after further changes of the store, and the keys are moved. The next
+// process under its name is used.
+func TestLeavingTargetIsAnnouncedByItsResponses(t *testing.T) {
+	run(t, seed.Value, 5, 6, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		time.Sleep(time.Second)
+		leader, _ := w.leader()
+		life := w.targets["t1"].Life
+		for _, n := range w.running() {
+			if n.name == leader {
+				n.loop.Post(func() { n.coordinator.TargetLeaving(life) })
+			}
+		}
+		w.leavingKnownWithin("t1", drainBound)
+		w.startTarget("t6")
+		time.Sleep(2 * time.Second)
+		w.leavingKnownWithin("t1", 0)
+		w.check(!w.holds("t1"), "t1 still holds keys")
+		w.startTarget("t1")
+		time.Sleep(4 * time.Second)
+		for _, n := range w.running() {
+			n.mu.Lock()
+			known := n.view.Targets["t1"]
+			w.check(known != nil && !known.Leaving && known.Life != life, "%s takes the next process for leaving: %+v", n.name, known)
+			n.mu.Unlock()
+		}
+	})
+}
+
 // TestRestartOfEverything: after all VMs have stopped at once, the first to start again
 // continues from the record, with higher fences.
 func TestRestartOfEverything(t *testing.T) {
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -380,7 +380,7 @@
 		return false
 	}
 	l.targetsPending, l.targetsPublishedAt = false, now
-	view.Targets = c.observer.Targets()
+	view.Targets = c.markLeaving(c.observer.Targets())
 	return true
 }
 
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -231,7 +231,7 @@
 		view.Config = config
 	}
 	if c.observer.Complete() {
-		view.Targets, view.Evacuated = c.observer.Targets(), c.observer.Evacuated()
+		view.Targets, view.Evacuated = c.markLeaving(c.observer.Targets()), c.observer.Evacuated()
 		l.parts.setTargets(view.Targets, view.Evacuated)
 		c.noteRestarts(view.Targets, now)
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -154,7 +154,7 @@
 
 func (g *Gateway) build(platform Platform) {
 	broker := g.settings.Broker
-	broker.NotOwner = g.notOwner
+	broker.NotOwner, broker.Leaving = g.notOwner, g.targetLeaving
 	g.pools = forward.NewPools(target.PoolOptions{
 		RequestIDHeader: platform.Dialect.RequestIDHeader(), Unframed: true, SkipStray: true,
 		DialTimeout: connectTimeout, MaxIdle: targetIdleTimeout,
@@ -232,6 +232,10 @@
 	g.loop.Post(func() { g.coordinator.NotOwner(service, key, life) })
 }
 
+func (g *Gateway) targetLeaving(life fleet.Life) {
+	g.loop.Post(func() { g.coordinator.TargetLeaving(life) })
+}
+
 // handleControl dispatches a message from a peer. Permit messages are served
 // immediately, all others on the loop. A message that cannot be handled is dropped.
 func (g *Gateway) handleControl(from peer.Peer, message *peerv1.Control) *peerv1.Control {
