--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -99,13 +99,25 @@
 	heartbeatAt time.Time
 	// freshness is the age of the view, for readers outside the loop; nil at the start.
 	freshness atomic.Pointer[freshness]
+	// source is where the targets in the view come from, and how recent they are.
+	source viewSource
+	// leaderTellsAge is set if the last heartbeat told the age of the leader's knowledge; a
+	// leader of an earlier release does not.
+	leaderTellsAge bool
+	// watchRetryAt is when this VM's own watch may begin again after a failed call, and
+	// watchPause the pause after the next one. recordUnreadable is set if the last check of
+	// the record could not reach the store.
+	watchRetryAt     time.Time
+	watchPause       time.Duration
+	recordUnreadable bool
 	// sharedHeartbeatAt is the arrival of the last heartbeat for readers outside the loop;
 	// nil before the first one.
 	sharedHeartbeatAt atomic.Pointer[time.Time]
 	// leaderRepeats are the retry-budget counters in the leader's last heartbeat.
 	leaderRepeats []*peerv1.ServiceRepeats
-	// reportAt is when the next report to the leader is due.
-	reportAt time.Time
+	// reportAt is when the next report to the leader is due, reportedAt when the last one was
+	// sent.
+	reportAt, reportedAt time.Time
 	// leaderYielding is set if the leader has asked in its last heartbeat that this VM
 	// take over.
 	leaderYielding bool
@@ -141,7 +153,7 @@
 
 // New returns a coordinator that does nothing until Start is called.
 func New(config Config) *Coordinator {
-	c := &Coordinator{config: config, view: &fleet.View{}, haveVersions: &peerv1.PartVersions{}, checkPause: checkPauseMin}
+	c := &Coordinator{config: config, view: &fleet.View{}, haveVersions: &peerv1.PartVersions{}, checkPause: checkPauseMin, watchPause: watchRetryMin}
 	c.observer = observer.New(observer.Config{
 		Names: config.Names, Store: config.Store, Loop: config.Loop, Logger: config.Logger,
 		Changed: c.declarationsChanged, Contact: c.noteStoreAnswer,
@@ -201,16 +213,16 @@
 	c.publishObserved()
 }
 
-// noteStoreAnswer records on a leader whether a call of the observer to the store was
-// answered.
+// noteStoreAnswer records whether a call of the observer to the store was answered.
 func (c *Coordinator) noteStoreAnswer(err error) {
 	if c.lead != nil {
 		c.lead.noteStoreAnswer(err, time.Now())
+		return
 	}
+	c.noteWatchFailure(err, time.Now())
 }
 
-// publishObserved publishes a view built from this VM's own watches of the store,
-// on a VM that receives no heartbeats.
+// publishObserved publishes a view built from this VM's own watches of the store.
 func (c *Coordinator) publishObserved() {
 	view := *c.view
 	if config := c.observer.Config(); config != nil && (view.Config == nil || config.Version > view.Config.Version) {
@@ -218,8 +230,10 @@
 	}
 	if c.observer.Complete() {
 		view.Targets, view.Evacuated = c.observer.Targets(), c.observer.Evacuated()
-		// A diff against the leader's last list no longer applies.
-		c.haveVersions.Targets = 0
+		// A leader that has read the same sends no list to this VM.
+		c.haveVersions.Targets = digestTargets(view.Targets, view.Evacuated)
+		c.source.leader = ""
+		c.noteObserved()
 	}
 	c.publish(&view)
 }
--- a/internal/process/coordinator/knowledge.go
+++ b/internal/process/coordinator/knowledge.go
@@ -1,14 +1,43 @@
 package coordinator
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
 )
 
-// currentWithin is the age up to which knowledge of the store is current: changes have to
-// be in force everywhere 2 s after the store has accepted them.
-const currentWithin = 2 * time.Second
+const (
+	// currentWithin is the age up to which knowledge of the store is current: changes have
+	// to be in force everywhere 2 s after the store has accepted them.
+	currentWithin = 2 * time.Second
+	// watchAfter is the age of a VM's knowledge of the store after which it watches the store
+	// itself, whatever the reason: a leader that has lost the store, or that has ended, or
+	// several of them. Usually the age is at most 1.05 s in a large fleet: 0.5 s of a poll,
+	// a report interval of 0.5 s and one tick.
+	watchAfter = 1200 * time.Millisecond
+	// watchSpread is added to it, as a share that depends on the VM, so that 300 VMs do not
+	// list the declarations at the same moment. Of the 2 s, 0.4 s are left for the lists.
+	watchSpread = 400 * time.Millisecond
+	// leaderReturnTime is the time that a leader which has regained the store has to list the
+	// declarations before other VMs begin to do so.
+	leaderReturnTime = 200 * time.Millisecond
+	// storeReturnSpread bounds the pause of a VM that reaches the store again while it hears
+	// a leader: most VMs then get what is new from the leader, which retries each 0.5 s.
+	storeReturnSpread = time.Second
+	// watchedEnough is the age of what a heartbeat brings below which a VM ends its own watch.
+	watchedEnough = 1100 * time.Millisecond
+	// heartbeatLate is the time beyond a report interval after which a VM that is about to
+	// watch reports again: the leader's answer may have been lost.
+	heartbeatLate = 100 * time.Millisecond
+	// watchRetryMin and watchRetryMax bound the backoff of a VM's own watch after a failed
+	// call.
+	watchRetryMin = 150 * time.Millisecond
+	watchRetryMax = 2 * time.Second
+)
 
 // freshness is what a VM knows of the age of its view, for readers outside the loop. Times
 // are uptimes.
@@ -33,6 +62,15 @@
 	return now-f.heardAt < heartbeatTimeout && now-f.knownAt < currentWithin
 }
 
+// viewSource is what this VM knows of the origin of the targets in its view.
+type viewSource struct {
+	// leader is the incarnation of the leader that has the same targets, or had when it last
+	// sent a heartbeat; empty if this VM has read them from the store itself.
+	leader string
+	// knownAt is the uptime up to which the view has all changes; zero if unknown.
+	knownAt time.Duration
+}
+
 // noteKnowledge records how recent the leader's knowledge is that this VM has after a
 // heartbeat. While parts are missing, the time of the former heartbeat still holds.
 func (c *Coordinator) noteKnowledge(state *peerv1.FleetState) {
@@ -40,16 +78,118 @@
 	if former := c.freshness.Load(); former != nil {
 		f.knownAt, f.known = former.knownAt, former.known
 	}
-	if at, ok := knownAtOf(state); ok && c.hasDeclarations(state.Versions) && (!f.known || at > f.knownAt) {
-		f.knownAt, f.known = at, true
+	c.leaderTellsAge = state.Known != nil
+	if c.hasDeclarations(state.Versions) {
+		c.source.leader = state.Leader.Incarnation
+		if at, ok := knownAtOf(state); ok {
+			c.source.knownAt = max(c.source.knownAt, at)
+			f.knownAt, f.known = max(f.knownAt, at), true
+		}
 	}
 	c.freshness.Store(&f)
 }
 
+// acceptsTargets reports whether the targets in a heartbeat may replace those in the view:
+// they come from the leader whose targets the view has, or are at least as recent. A new
+// leader may know less than this VM, and a target that this VM has seen leave must not come
+// back for that.
+func (c *Coordinator) acceptsTargets(state *peerv1.FleetState) bool {
+	if state.Known == nil || c.source.knownAt == 0 || c.source.leader == state.Leader.Incarnation {
+		return true
+	}
+	at, ok := knownAtOf(state)
+	return ok && at >= c.source.knownAt
+}
+
+// watchIfStale watches the store while what this VM hears from the leader is not recent.
+func (c *Coordinator) watchIfStale(now time.Time, silentFor time.Duration) {
+	if c.observer.Watching() {
+		if c.observer.Tick(now) {
+			c.publishObserved()
+		}
+		c.noteObserved()
+		if c.hearsEnough(silentFor) {
+			c.observer.Stop()
+		}
+		return
+	}
+	if !c.isStale(now, silentFor) || now.Before(c.watchRetryAt) {
+		return
+	}
+	if c.recordUnreadable {
+		// The checks of the record show when the store is back, unless the leader has it
+		// first. Then all VMs stop checking at once, and most get what is new from the leader
+		// before they have to read it.
+		if c.checkAt.IsZero() {
+			c.recordUnreadable, c.watchRetryAt = false, now.Add(leaderReturnTime+rand.N(watchSpread))
+		}
+		return
+	}
+	if c.source.knownAt != 0 {
+		c.observer.NoteStoreReached(now.Add(c.source.knownAt - c.config.Uptime()))
+	}
+	c.observer.Seed(c.view)
+	c.observer.StartCautiously(c.ctx)
+}
+
+// noteStoreReturned lets this VM's own watch begin again after a check of the record has
+// reached the store.
+func (c *Coordinator) noteStoreReturned(now time.Time) {
+	pause := watchSpread
+	if now.Sub(c.heartbeatAt) < heartbeatTimeout {
+		pause = storeReturnSpread
+	}
+	c.watchRetryAt = now.Add(rand.N(pause))
+}
+
+// isStale reports whether this VM has to watch the store itself.
+func (c *Coordinator) isStale(now time.Time, silentFor time.Duration) bool {
+	spread := time.Duration(float64(xxh3.HashString(c.config.Self.VM)%1000) / 1000 * float64(watchSpread))
+	if c.source.knownAt == 0 || !c.leaderTellsAge {
+		return silentFor > watchStoreAfter+spread && now.Sub(c.startedAt) > watchStoreAfter+spread
+	}
+	return c.config.Uptime()-c.source.knownAt > watchAfter+spread
+}
+
+// hearsEnough reports whether the leader's heartbeats make a watch of this VM unnecessary.
+func (c *Coordinator) hearsEnough(silentFor time.Duration) bool {
+	if !c.leaderTellsAge {
+		return silentFor < heartbeatTimeout
+	}
+	f := c.freshness.Load()
+	return f != nil && f.known && c.config.Uptime()-f.knownAt < watchedEnough
+}
+
+// reportIsLate reports whether another report is due because this VM is about to watch the
+// store and the answer to the last report is missing.
+func (c *Coordinator) reportIsLate(now time.Time, silentFor time.Duration) bool {
+	return c.leaderTellsAge && c.source.knownAt != 0 && silentFor > c.reportInterval()+heartbeatLate &&
+		c.config.Uptime()-c.source.knownAt > watchedEnough && now.Sub(c.reportedAt) >= reportEvery
+}
+
+// noteObserved records how recent the view is that this VM's own watches have filled.
+func (c *Coordinator) noteObserved() {
+	if at, ok := c.observer.KnownAt(); ok {
+		c.source.knownAt = max(c.source.knownAt, at)
+	}
+}
+
+// noteWatchFailure ends a follower's own watch after a failed call; it begins again after a
+// pause, or once a check of the record has reached the store.
+func (c *Coordinator) noteWatchFailure(err error, now time.Time) {
+	if !fault.Is(err, fault.Unavailable) {
+		c.watchPause = watchRetryMin
+		return
+	}
+	c.observer.Stop()
+	c.watchRetryAt = now.Add(c.watchPause/2 + rand.N(c.watchPause/2+1))
+	c.watchPause = min(2*c.watchPause, watchRetryMax)
+}
+
 // knownAtOf returns the time, in this VM's uptime, up to which the leader knew the store
 // when it sent a heartbeat.
 func knownAtOf(state *peerv1.FleetState) (time.Duration, bool) {
-	if state.Known == nil {
+	if state.Known.GetReportMillis() == 0 {
 		return 0, false
 	}
 	return time.Duration(int64(state.Known.ReportMillis)+state.Known.AfterMillis) * time.Millisecond, true
@@ -65,21 +205,15 @@
 // noteLeaderKnowledge records on the leader how recent its knowledge of the store is. Until
 // its watches have listed everything, it knows what it knew as a follower.
 func (c *Coordinator) noteLeaderKnowledge() {
-	f := freshness{heardAt: c.config.Uptime()}
-	if former := c.freshness.Load(); former != nil {
-		f.knownAt, f.known = former.knownAt, former.known
-	}
-	if at, ok := c.observer.KnownAt(); ok {
-		f.knownAt, f.known = at, true
-	}
-	c.freshness.Store(&f)
+	c.noteObserved()
+	c.freshness.Store(&freshness{heardAt: c.config.Uptime(), knownAt: c.source.knownAt, known: c.source.knownAt != 0})
 }
 
-// knowledgeFor returns the leader's knowledge of the store in a member's clock, or nil.
+// knowledgeFor returns the leader's knowledge of the store in a member's clock.
 func (c *Coordinator) knowledgeFor(m *member) *peerv1.StoreKnowledge {
 	f := c.freshness.Load()
 	if f == nil || !f.known || m.reportSentMillis == 0 {
-		return nil
+		return &peerv1.StoreKnowledge{}
 	}
 	return &peerv1.StoreKnowledge{ReportMillis: m.reportSentMillis, AfterMillis: (f.knownAt - m.reportArrivedAt).Milliseconds()}
 }
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -29,31 +29,22 @@
 	// enough that VMs partitioned off together do not count as a majority.
 	queryCount = 9
 	// watchStoreAfter is the time without a heartbeat after which a VM watches the store
-	// itself.
+	// itself if it does not know how recent its view is.
 	watchStoreAfter = 2 * time.Second
 )
 
 // followTick reports to the leader, and checks whether to take over if its heartbeats
 // are missing or it has asked for that.
 func (c *Coordinator) followTick(now time.Time) {
-	if c.view.Leader.VM != "" && !now.Before(c.reportAt) {
+	silentFor := now.Sub(c.heartbeatAt)
+	if c.view.Leader.VM != "" && (!now.Before(c.reportAt) || c.reportIsLate(now, silentFor)) {
 		c.report(now)
 	}
-	silentFor := now.Sub(c.heartbeatAt)
+	c.watchIfStale(now, silentFor)
 	if silentFor < heartbeatTimeout && !c.leaderYielding {
-		if c.observer.Watching() {
-			c.observer.Stop()
-		}
 		c.checkAt = time.Time{}
 		return
 	}
-	if silentFor > watchStoreAfter && now.Sub(c.startedAt) > watchStoreAfter && !c.observer.Watching() {
-		c.observer.Seed(c.view)
-		c.observer.Start(c.ctx)
-	}
-	if c.observer.Watching() && c.observer.Tick(now) {
-		c.publishObserved()
-	}
 	if c.checkAt.IsZero() {
 		c.checkAt = now.Add(rankDelay(c.config.Self, c.view))
 		c.checkPause = checkPauseMin
@@ -65,7 +56,7 @@
 
 // report sends the leader this VM's properties and the versions that it has.
 func (c *Coordinator) report(now time.Time) {
-	c.reportAt = now.Add(c.reportInterval())
+	c.reportAt, c.reportedAt = now.Add(c.reportInterval()), now
 	c.config.Sender.Send(c.view.Leader.VM, &peerv1.Control{Kind: &peerv1.Control_MemberReport{MemberReport: &peerv1.MemberReport{
 		Term: c.view.Term, Address: c.config.Self.Address, ProcessorMillis: c.config.Self.Processor,
 		FailureDomain: c.config.Self.FailureDomain, Have: proto.Clone(c.haveVersions).(*peerv1.PartVersions), HeardMillis: c.leaderUptimeMillis,
@@ -101,7 +92,8 @@
 	view := *c.view
 	changed := state.Config != nil || state.Targets != nil || state.Slices != nil || state.Members != nil
 	if state.Term > view.Term || view.Leader.Incarnation != state.Leader.Incarnation {
-		changed = true
+		// The leader's knowledge can be told once it has a report of this VM.
+		changed, c.reportAt = true, time.Time{}
 		events.LeaderFollowed.Log(c.config.Logger).Uint64("term", state.Term).Str("leader", state.Leader.Vm).
 			Uint64("term_before", view.Term).Str("leader_before", view.Leader.VM).Send()
 	}
@@ -135,8 +127,11 @@
 		c.applyConfig(view, state)
 	}
 	targets, sliceList, members := &peerv1.TargetList{}, &peerv1.SliceList{}, &peerv1.MemberList{}
-	if c.decodeList(state.Targets, c.haveVersions.Targets, targets) {
+	if c.acceptsTargets(state) && c.decodeList(state.Targets, c.haveVersions.Targets, targets) {
 		c.haveVersions.Targets = state.Versions.Targets
+		// The list is at least as recent as what this VM's own watch has found. If it is not
+		// recent enough, the watch begins again from it.
+		c.observer.Stop()
 		view.Targets, view.Evacuated = applyTargets(targets, baseOf(state.Targets, view.Targets), now)
 		if state.Targets.Base == 0 {
 			// The leader sends the owners of keys to this VM, and full lists to
@@ -305,6 +300,11 @@
 	c.checking = false
 	now := time.Now()
 	c.observer.NoteStoreAnswer(err, now)
+	wasUnreadable := c.recordUnreadable
+	c.recordUnreadable = err != nil && !fault.Is(err, fault.NotFound)
+	if wasUnreadable && !c.recordUnreadable {
+		c.noteStoreReturned(now)
+	}
 	c.checkAt = now.Add(c.checkPause)
 	c.checkPause = min(2*c.checkPause, checkPauseMax)
 	switch {
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -55,6 +55,11 @@
 	connecting    map[string]int
 	// outage makes the store unavailable to all VMs.
 	outage bool
+	// storeCalls are the times of the calls to the store, each poll of a watch among them.
+	storeCalls []time.Time
+	// storeSilentFor is how long calls to a store that is not reached take to fail, as if
+	// packets were dropped.
+	storeSilentFor time.Duration
 	// storeAnswerDelays is the delay of the store's answers to writes, by node.
 	storeAnswerDelays map[string]time.Duration
 	// loseAnswers is the share of writes whose answers are lost.
@@ -407,20 +412,30 @@
 // nodeStore is a node's client of the store.
 type nodeStore struct{ node *node }
 
+// call counts a call and reaches the store.
+func (s nodeStore) call(ctx context.Context) error {
+	s.node.world.withLock(func() { s.node.world.storeCalls = append(s.node.world.storeCalls, time.Now()) })
+	return s.reach(ctx)
+}
+
 func (s nodeStore) reach(ctx context.Context) error {
 	time.Sleep(4 * time.Millisecond)
 	w := s.node.world
 	w.mu.Lock()
-	down := w.outage || w.cut[s.node.name+">store"]
+	down, silentFor := w.outage || w.cut[s.node.name+">store"], w.storeSilentFor
 	w.mu.Unlock()
 	if down || ctx.Err() != nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(silentFor):
+		}
 		return fault.New(fault.Unavailable, "try again", "no path to the store")
 	}
 	return nil
 }
 
 func (s nodeStore) Get(ctx context.Context, name string) (store.Object, error) {
-	if err := s.reach(ctx); err != nil {
+	if err := s.call(ctx); err != nil {
 		return store.Object{}, err
 	}
 	return s.node.world.memory.Get(ctx, name)
@@ -429,7 +444,7 @@
 // Put writes an object. If its answer is lost, the write takes effect at once or
 // seconds later.
 func (s nodeStore) Put(ctx context.Context, name string, value []byte, expected int64) (int64, error) {
-	if err := s.reach(ctx); err != nil {
+	if err := s.call(ctx); err != nil {
 		return 0, err
 	}
 	w := s.node.world
@@ -450,14 +465,14 @@
 }
 
 func (s nodeStore) Delete(ctx context.Context, name string, expected int64) error {
-	if err := s.reach(ctx); err != nil {
+	if err := s.call(ctx); err != nil {
 		return err
 	}
 	return s.node.world.memory.Delete(ctx, name, expected)
 }
 
 func (s nodeStore) List(ctx context.Context, prefix string) ([]store.Object, int64, error) {
-	if err := s.reach(ctx); err != nil {
+	if err := s.call(ctx); err != nil {
 		return nil, 0, err
 	}
 	s.node.world.mu.Lock()
@@ -469,7 +484,7 @@
 
 // Watch makes one poll, as the platform's client does.
 func (s nodeStore) Watch(ctx context.Context, prefix string, after int64) ([]store.Object, int64, error) {
-	if err := s.reach(ctx); err != nil {
+	if err := s.call(ctx); err != nil {
 		return nil, 0, err
 	}
 	poll, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -81,6 +81,8 @@
 	// watchContext is the context of the watches, which cancel ends.
 	watchContext context.Context
 	cancel       context.CancelFunc
+	// cautious is set while only the configuration is watched; see StartCautiously.
+	cautious bool
 	// knownAt holds the uptime of the last answer to each watch since Start that is applied.
 	knownAt map[string]time.Duration
 
@@ -170,16 +172,41 @@
 // Start begins to watch. Entries that are missing may still reappear if the calls passed
 // to NoteStoreAnswer show that an outage of the store has just ended.
 func (o *Observer) Start(ctx context.Context) {
+	if o.begin(ctx) {
+		o.watchConfig()
+		o.watchOthers()
+	}
+}
+
+// StartCautiously begins to watch like Start, but lists only the configuration until the
+// store has answered that: a VM that cannot reach the store makes a single call.
+func (o *Observer) StartCautiously(ctx context.Context) {
+	if o.begin(ctx) {
+		o.cautious = true
+		o.watchConfig()
+	}
+}
+
+// begin prepares to watch and reports whether the observer was not watching before.
+func (o *Observer) begin(ctx context.Context) bool {
 	if o.cancel != nil {
-		return
+		return false
 	}
 	clear(o.missing)
 	clear(o.assumed)
 	ctx, o.cancel = context.WithCancel(ctx)
 	o.watchContext = ctx
-	o.watchPrefix(ctx, o.config.Names.Config, o.configListed, o.configChanged)
-	o.watchPrefix(ctx, o.config.Names.Targets, o.targetsListed, o.targetsChanged)
-	o.watchPrefix(ctx, o.config.Names.Evacuations, o.evacuationsListed, o.evacuationsChanged)
+	return true
+}
+
+func (o *Observer) watchConfig() {
+	o.watchPrefix(o.watchContext, o.config.Names.Config, o.configListed, o.configChanged)
+}
+
+func (o *Observer) watchOthers() {
+	o.cautious = false
+	o.watchPrefix(o.watchContext, o.config.Names.Targets, o.targetsListed, o.targetsChanged)
+	o.watchPrefix(o.watchContext, o.config.Names.Evacuations, o.evacuationsListed, o.evacuationsChanged)
 }
 
 // Stop ends the watches; what they have found is kept.
@@ -188,7 +215,7 @@
 		return
 	}
 	o.cancel()
-	o.cancel = nil
+	o.cancel, o.cautious = nil, false
 	clear(o.knownAt)
 }
 
@@ -339,6 +366,9 @@
 	o.answeredAt, o.failingSince, o.failedAt = now, time.Time{}, time.Time{}
 }
 
+// NoteStoreReached records that the store has answered another VM at a time.
+func (o *Observer) NoteStoreReached(at time.Time) { o.answeredAt = laterOf(o.answeredAt, at) }
+
 // Tick marks targets whose entries did not reappear in time as removed, forgets targets
 // after removedRetention, and reports whether anything changed. While the store does not
 // answer, no entry can reappear.
@@ -381,7 +411,12 @@
 // Evacuated returns a copy of the set of evacuated failure domains.
 func (o *Observer) Evacuated() map[string]bool { return maps.Clone(o.evacuated) }
 
-func (o *Observer) configListed(objects []store.Object) { o.configChanged(objects) }
+func (o *Observer) configListed(objects []store.Object) {
+	o.configChanged(objects)
+	if o.cautious {
+		o.watchOthers()
+	}
+}
 
 func (o *Observer) configChanged(objects []store.Object) {
 	o.eachObject(objects, func(object store.Object) {
--- a/internal/process/store/follow.go
+++ b/internal/process/store/follow.go
@@ -12,7 +12,7 @@
 	// pause is random, between half of its bound and the bound, so that
 	// followers that lost the store together do not all return at once.
 	followRetryMin = 100 * time.Millisecond
-	followRetryMax = 1 * time.Second
+	followRetryMax = 500 * time.Millisecond
 	// relistPause bounds the pause between a failed watch and the next list.
 	relistPause = 30 * time.Millisecond
 )
