--- a/cmd/chestnutcoursed/platform.go
+++ b/cmd/chestnutcoursed/platform.go
@@ -16,6 +16,7 @@
 	"github.com/chestnutcourse/chestnutcourse/internal/process/observer"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/signals"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/quota"
 	"github.com/chestnutcourse/chestnutcourse/platform"
 )
 
@@ -97,6 +98,7 @@
 			},
 			ColdFactor: s.Bounds.ColdFactor,
 		},
+		Quota:       quota.Rule{Window: s.Bounds.QuotaWindow, Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack},
 		LongestHold: s.Bounds.LongestGrant, StopWithin: s.Bounds.StopTimeout,
 	}
 }
--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -77,11 +77,25 @@
 	// the time of its last heartbeat.
 	Repeats      func(now time.Time) map[string]admission.RepeatCount
 	AdoptRepeats func(counts map[string]admission.RepeatCount, heard time.Time)
+	// Quotas exchanges the use of the teams' quotas between the VMs; nil for none.
+	Quotas Quotas
 	// Uptime returns the time since the VM's start, including time suspended.
 	Uptime func() time.Duration
 	Logger *zerolog.Logger
 }
 
+// Quotas is the use of the teams' quotas as this VM counts it.
+type Quotas interface {
+	// QuotaState returns what a leader tells all VMs; nil if no team has a limit.
+	QuotaState(now time.Time) *peerv1.QuotaState
+	// QuotaHeard records what the leader has told.
+	QuotaHeard(state *peerv1.QuotaState, now time.Time)
+	// QuotaUses returns what this VM reports to the leader.
+	QuotaUses(now time.Time) []*peerv1.TeamUse
+	// QuotaReported records a report of another VM to this leader.
+	QuotaReported(vm string, uses []*peerv1.TeamUse, now time.Time)
+}
+
 // Coordinator runs on every VM, as the leader or as a follower.
 type Coordinator struct {
 	config   Config
--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -657,6 +657,33 @@
 	})
 }
 
+// TestQuotasAreExchanged: all VMs hear the counts of the leader, and a new leader hears what
+// each VM ran without its permits, so that a team gets no second limit from it.
+func TestQuotasAreExchanged(t *testing.T) {
+	run(t, seed.Value, 4, 5, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		check := func() (leader string) {
+			time.Sleep(time.Second)
+			leader, _ = w.leader()
+			for name, n := range w.nodes {
+				n.mu.Lock()
+				if name == leader {
+					assert.Equal(t, len(n.quotaReports), len(w.nodes)-1)
+				} else {
+					assert.Equal(t, n.quotaFrom, leader)
+				}
+				n.mu.Unlock()
+			}
+			return leader
+		}
+		former := check()
+		w.killNode(former)
+		time.Sleep(2 * time.Second)
+		delete(w.nodes, former)
+		assert.Assert(t, check() != former)
+	})
+}
+
 // longerThanAGrant is a time after which all grants of an unreachable owner have expired.
 const longerThanAGrant = 3500 * time.Millisecond
 
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -75,6 +75,9 @@
 	// repeats are the retry-budget counters of this VM's broker as of repeatsAt.
 	repeats   []*peerv1.ServiceRepeats
 	repeatsAt time.Time
+	// quota is the use of the teams' quotas as of quotaAt.
+	quota   *peerv1.QuotaState
+	quotaAt time.Time
 
 	// storeAnsweredAt is when the store last answered; storeLost is set if that was too
 	// long ago.
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -66,10 +66,14 @@
 // report sends the leader this VM's properties and the versions that it has.
 func (c *Coordinator) report(now time.Time) {
 	c.reportAt = now.Add(c.reportInterval())
-	c.config.Sender.Send(c.view.Leader.VM, &peerv1.Control{Kind: &peerv1.Control_MemberReport{MemberReport: &peerv1.MemberReport{
+	report := &peerv1.MemberReport{
 		Term: c.view.Term, Address: c.config.Self.Address, ProcessorMillis: c.config.Self.Processor,
 		FailureDomain: c.config.Self.FailureDomain, Have: proto.Clone(c.haveVersions).(*peerv1.PartVersions), HeardMillis: c.leaderUptimeMillis,
-	}}})
+	}
+	if c.config.Quotas != nil {
+		report.QuotaUses = c.config.Quotas.QuotaUses(now)
+	}
+	c.config.Sender.Send(c.view.Leader.VM, &peerv1.Control{Kind: &peerv1.Control_MemberReport{MemberReport: report}})
 }
 
 // reportInterval returns the interval of reports for the present number of VMs.
@@ -114,6 +118,9 @@
 		c.applyParts(&view, state, now)
 		c.publish(&view)
 	}
+	if c.config.Quotas != nil && state.Quota != nil {
+		c.config.Quotas.QuotaHeard(state.Quota, now)
+	}
 	if !now.Before(c.reportAt) {
 		c.report(now)
 	}
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -96,6 +96,7 @@
 		Term: l.record.Term, Leader: memberToWire(c.config.Self), Versions: l.parts.versions(now),
 		StoreLost: l.storeLost, Leaving: c.leaving, Outranked: l.outranked, RecordWrite: l.record.Write,
 		Repeats: c.currentRepeats(now), SentMillis: uint64(c.config.Uptime().Milliseconds()),
+		Quota: c.currentQuota(now),
 	}
 	if m.sentVersions != nil {
 		c.addParts(state, m, now)
@@ -112,6 +113,15 @@
 	return l.repeats
 }
 
+// currentQuota returns the use of the teams' quotas, at most maxPartAge old.
+func (c *Coordinator) currentQuota(now time.Time) *peerv1.QuotaState {
+	l := c.lead
+	if c.config.Quotas != nil && now.Sub(l.quotaAt) > maxPartAge {
+		l.quota, l.quotaAt = c.config.Quotas.QuotaState(now), now
+	}
+	return l.quota
+}
+
 // addParts adds the parts whose present version a VM lacks to a heartbeat. A list that
 // this leader does not have yet is not sent, so that VMs keep the one they have.
 func (c *Coordinator) addParts(state *peerv1.FleetState, m *member, now time.Time) {
@@ -205,6 +215,9 @@
 	}
 	m.reportedAt, m.term = now, report.Term
 	if report.Term == l.record.Term {
+		if c.config.Quotas != nil {
+			c.config.Quotas.QuotaReported(sender.VM, report.QuotaUses, now)
+		}
 		m.followConfirmedAt = max(m.followConfirmedAt, time.Duration(report.HeardMillis)*time.Millisecond)
 	}
 	m.updateDeliveries(report.Have, c.reportInterval(), now)
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -115,6 +115,9 @@
 	// time of the heartbeat from which they were adopted.
 	retryCounts   map[string]admission.RepeatCount
 	retryCountsAt time.Time
+	// quotaFrom is the leader whose counts arrived last, quotaReports the reports by VM.
+	quotaFrom    string
+	quotaReports map[string]int
 }
 
 func newWorld(t *testing.T, seed uint64, nodes, targets int) *world {
@@ -157,7 +160,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.calls++
-	n := &node{world: w, name: name, incarnation: fmt.Sprintf("%s-%d", name, w.calls), loop: loop.New(), view: &fleet.View{}, acceptedBy: map[uint64]*fakeTarget{}}
+	n := &node{world: w, name: name, incarnation: fmt.Sprintf("%s-%d", name, w.calls), loop: loop.New(), view: &fleet.View{}, acceptedBy: map[uint64]*fakeTarget{}, quotaReports: map[string]int{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	logger := zerolog.New(historyWriter{w}).With().Str("vm", n.incarnation).Logger()
@@ -165,7 +168,7 @@
 		Self:       fleet.Member{VM: name, Incarnation: n.incarnation, Address: name + ":1", Processor: processorOf(name), FailureDomain: domainOf(name)},
 		RecordName: "own/record", Names: names, Loop: n.loop, Store: nodeStore{n}, Sender: n, Targets: n,
 		LinkRate: w.linkRate, LongestHold: 10 * time.Second, Publish: n.publish, Observe: n.observe, Demand: n.demand,
-		Repeats: n.repeats, AdoptRepeats: n.adoptRepeats,
+		Repeats: n.repeats, AdoptRepeats: n.adoptRepeats, Quotas: n,
 		Dial: n.dial, Uptime: func() time.Duration { return time.Since(w.began) }, Logger: &logger,
 	})
 	go n.loop.Run(ctx)
@@ -254,6 +257,28 @@
 	n.retryCounts, n.retryCountsAt = counts, heard
 }
 
+// The node counts 10 requests of one team by itself.
+
+func (n *node) QuotaState(time.Time) *peerv1.QuotaState {
+	return &peerv1.QuotaState{Used: []*peerv1.TeamUse{{Team: n.name, Requests: 100}}}
+}
+
+func (n *node) QuotaHeard(state *peerv1.QuotaState, _ time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.quotaFrom = state.Used[0].Team
+}
+
+func (n *node) QuotaUses(time.Time) []*peerv1.TeamUse {
+	return []*peerv1.TeamUse{{Team: "team", Requests: 10}}
+}
+
+func (n *node) QuotaReported(vm string, uses []*peerv1.TeamUse, _ time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.quotaReports[vm] = int(uses[0].Requests)
+}
+
 // demand simulates an even load with a hot set that moves every 5 s.
 func (n *node) demand(_ string, now time.Time, use func(*keyspace.Load)) {
 	load := keyspace.NewLoad(now)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"github.com/chestnutcourse/chestnutcourse/internal/process/store"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/forward"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/quota"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
@@ -90,6 +91,8 @@
 	// unknown.
 	LinkRate float64
 	Broker   admission.Config
+	// Quota is the rule for teams that have a limit.
+	Quota quota.Rule
 	// LongestHold is the longest grant that targets accept.
 	LongestHold time.Duration
 	// StopWithin bounds the duration of a graceful stop.
@@ -161,14 +164,14 @@
 	})
 	g.desk = permits.New(permits.Config{
 		Self: g.self.VM, Broker: broker, Sender: g.transport, View: g.view.Load, Alive: g.brokerAlive,
-		ContactLost: g.pools.ContactLost,
+		ContactLost: g.pools.ContactLost, Quota: g.settings.Quota,
 	})
 	g.coordinator = coordinator.New(coordinator.Config{
 		Self:       g.self,
 		RecordName: platform.RecordName, Names: platform.Names, Loop: g.loop, Store: platform.Store,
 		Sender: g.transport, Targets: platform.Targets, LongestHold: g.settings.LongestHold, LinkRate: g.settings.LinkRate,
 		Publish: g.publish, Observe: g.desk.Observe, Demand: g.desk.Demand, Dial: dial,
-		Repeats: g.desk.Repeats, AdoptRepeats: g.desk.AdoptRepeats, Uptime: uptime, Logger: &g.logger,
+		Repeats: g.desk.Repeats, AdoptRepeats: g.desk.AdoptRepeats, Quotas: g.desk, Uptime: uptime, Logger: &g.logger,
 	})
 	g.handler = forward.New(forward.Config{
 		Domain: g.settings.FailureDomain, Dialect: platform.Dialect, Permits: g.desk, View: g.view.Load,
--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -14,6 +14,7 @@
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/quota"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/keyspace"
 )
@@ -58,6 +59,8 @@
 	// ContactLost, if set, returns when this VM noticed that the target has closed all of
 	// its connections; zero if it has not. It is called without locks of the desk.
 	ContactLost func(fleet.Life) time.Time
+	// Quota is the rule for teams that have a limit.
+	Quota quota.Rule
 }
 
 // Desk obtains and grants permits on one VM: it is the broker of the services that
@@ -86,6 +89,7 @@
 	queued       map[uint64]bool
 	backoffUntil map[string]time.Time
 	doubts       doubts
+	quotas       quotas
 	ticking      bool
 	// replies are the messages to send after mu has been released.
 	replies []reply
@@ -102,7 +106,7 @@
 	d := &Desk{
 		config: config, demand: map[string]*keyspace.Load{}, pending: map[uint64]chan admission.Decision{},
 		queued: map[uint64]bool{}, backoffUntil: map[string]time.Time{}, applied: map[*admission.Broker]*fleet.View{},
-		doubts: doubts{},
+		doubts: doubts{}, quotas: quotas{rule: config.Quota, self: config.Self, share: quota.NewShare(config.Quota, config.Self, time.Now())},
 	}
 	d.number.Store(rand.Uint64N(initialNumberRange))
 	brokerConfig := config.Broker
@@ -131,6 +135,9 @@
 func (d *Desk) Update(view *fleet.View) {
 	now := time.Now()
 	d.mu.Lock()
+	if previous := d.latest; previous == nil || previous.Term != view.Term || previous.Leader != view.Leader {
+		d.quotas.leaderChanged(now)
+	}
 	d.latest = view
 	for _, b := range []*admission.Broker{d.broker, d.fallback} {
 		if b.Busy() {
@@ -161,6 +168,7 @@
 				// The view has changed in between.
 				continue
 			}
+			d.countPermitted(permit, r.Team)
 			return permit, err
 		case broker == "", !d.mayAsk(broker) && !d.needsBroker(broker, &r):
 			permit, err := d.acquireLocal(ctx, r, d.fallback, "")
@@ -172,18 +180,20 @@
 		}
 		permit, decided, err := d.acquireRemote(ctx, broker, r)
 		if decided || err != nil {
+			d.countPermitted(permit, r.Team)
 			return permit, err
 		}
 	}
 }
 
 // needsBroker reports whether a request must wait for a broker that is slow but alive,
-// because this VM knows no warm target for it. The broker may still permit it: local
-// decisions send nothing to cold targets, and a change of the owner of a key reaches
-// this VM up to a second later than the broker. Repeats do not wait: they are refused
+// because this VM knows no warm target for it or has spent its share of the team's quota.
+// The broker may still permit it: local decisions send nothing to cold targets, a change of
+// the owner of a key reaches this VM up to a second later than the broker, and other VMs may
+// use less than their shares. Repeats do not wait: they are refused
 // while the broker is slow.
 func (d *Desk) needsBroker(broker string, r *admission.Request) bool {
-	return !r.Repeat && d.config.Alive(broker) && !d.hasWarmTarget(d.config.View(), r, time.Now())
+	return !r.Repeat && d.config.Alive(broker) && (!d.hasWarmTarget(d.config.View(), r, time.Now()) || d.shareSpent(r.Team))
 }
 
 // hasWarmTarget reports whether a view has a usable target for a request and that
@@ -242,7 +252,11 @@
 func (d *Desk) acquireLocal(ctx context.Context, r admission.Request, b *admission.Broker, brokerName string) (Permit, error) {
 	answer := d.register(&r)
 	defer d.unregister(r.ID.Number)
-	d.submit(b, r)
+	foreign := 0
+	if b == d.broker {
+		foreign = d.quotaUse(r.Team)
+	}
+	d.submit(b, r, foreign)
 	select {
 	case decision := <-answer:
 		return Permit{Decision: decision, Broker: brokerName}, nil
@@ -258,7 +272,9 @@
 	answer := d.register(&r)
 	defer d.unregister(r.ID.Number)
 	sentAt := time.Now()
-	d.config.Sender.Send(broker, &peerv1.Control{Kind: &peerv1.Control_PermitRequest{PermitRequest: requestToWire(r, sentAt)}})
+	message := requestToWire(r, sentAt)
+	message.QuotaUse = uint32(d.quotaUse(r.Team))
+	d.config.Sender.Send(broker, &peerv1.Control{Kind: &peerv1.Control_PermitRequest{PermitRequest: message}})
 	timer := time.NewTimer(replyTimeout)
 	defer timer.Stop()
 	for {
@@ -322,6 +338,9 @@
 		d.doubt(p.Target, time.Now())
 	}
 	end := admission.End{ID: p.ID, Result: result, Took: took, Load: load, HasLoad: hasLoad}
+	if p.Broker != "" {
+		d.locked(func() { d.quotas.share.End(p.ID.Number, counts(end), took, time.Now()) })
+	}
 	switch p.Broker {
 	case "":
 		d.endLocal(d.fallback, end)
@@ -334,7 +353,16 @@
 
 // endLocal reports an end to a broker of this VM.
 func (d *Desk) endLocal(b *admission.Broker, end admission.End) {
-	d.locked(func() { b.End(end, time.Now()) })
+	d.locked(func() {
+		now := time.Now()
+		switch {
+		case b == d.fallback:
+			d.quotas.share.End(end.ID.Number, counts(end), end.Took, now)
+		case d.quotas.ledger != nil:
+			d.quotas.ledger.End(end.ID, counts(end), end.Took, now)
+		}
+		b.End(end, now)
+	})
 	d.flush()
 }
 
@@ -355,12 +383,21 @@
 
 // submit submits a request to a broker of this VM. If the broker decides for all VMs,
 // submit also records the demand for the key and confirms a queued request to the VM
-// that sent it.
-func (d *Desk) submit(b *admission.Broker, r admission.Request) {
+// that sent it. foreign is the number of requests of the team that this VM ran without
+// permits of the broker.
+func (d *Desk) submit(b *admission.Broker, r admission.Request, foreign int) {
 	now := time.Now()
 	d.locked(func() {
 		d.applyLatest(b, now)
-		if b == d.broker {
+		view := d.config.View()
+		ofAll := b == d.broker
+		if !ofAll || view.Brokers[r.Service] == d.config.Self {
+			if refusal, ok := d.quotas.admit(&r, ofAll, foreign, view, now); !ok {
+				d.deliver(refusal)
+				return
+			}
+		}
+		if ofAll {
 			d.countDemand(r, now)
 		}
 		b.Ask(r, now)
@@ -443,6 +480,7 @@
 // deliver passes a decision to the waiting request of this VM, or queues a reply to
 // the VM that asked. The caller holds mu.
 func (d *Desk) deliver(decision admission.Decision) {
+	d.quotas.decided(decision, time.Now())
 	if decision.ID.VM != d.config.Self {
 		d.replies = append(d.replies, reply{decision.ID.VM, decisionToWire(decision)})
 		return
@@ -492,7 +530,7 @@
 func (d *Desk) Handle(from peer.Peer, message *peerv1.Control) bool {
 	switch kind := message.Kind.(type) {
 	case *peerv1.Control_PermitRequest:
-		d.submit(d.broker, requestFromWire(from.VM, kind.PermitRequest, time.Now()))
+		d.submit(d.broker, requestFromWire(from.VM, kind.PermitRequest, time.Now()), int(kind.PermitRequest.QuotaUse))
 	case *peerv1.Control_PermitReply:
 		d.handleReply(from.VM, kind.PermitReply)
 	case *peerv1.Control_PermitEnd:
@@ -535,5 +573,8 @@
 func (d *Desk) Forget(vm string) {
 	d.mu.Lock()
 	d.broker.Forget(vm)
+	if d.quotas.ledger != nil {
+		d.quotas.ledger.Forget(vm)
+	}
 	d.mu.Unlock()
 }
--- a/internal/process/permits/desk_test.go
+++ b/internal/process/permits/desk_test.go
@@ -16,6 +16,7 @@
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/permits"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
+	"github.com/chestnutcourse/chestnutcourse/internal/request/quota"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
@@ -29,6 +30,7 @@
 	delay time.Duration
 	// brokerSilent is set while no VM considers the broker alive.
 	brokerSilent bool
+	quota        quota.Rule
 }
 
 type sender struct {
@@ -83,7 +85,7 @@
 
 func (n *network) startWith(vm string, view func() *fleet.View) {
 	desk := permits.New(permits.Config{
-		Self: vm, Sender: sender{n, vm}, View: view,
+		Self: vm, Sender: sender{n, vm}, View: view, Quota: n.quota,
 		Broker: admission.Config{Budget: admission.Budget{Ratio: 0.2, Allowance: 10}, ColdFactor: 1.5},
 		Alive: func(string) bool {
 			n.mu.Lock()
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -35,6 +35,11 @@
 	NotBroker Reason = "not-broker"
 	// BudgetSpent: the retry budget of the service is exhausted.
 	BudgetSpent Reason = "budget-spent"
+	// QuotaSpent: the team has reached its limit. It has room again after RetryAfter.
+	QuotaSpent Reason = "quota-spent"
+	// QuotaUnknown: the broker, which knows whether the team has reached its limit, cannot be
+	// asked, and the VM has used its share of the limit.
+	QuotaUnknown Reason = "quota-unknown"
 )
 
 // Result is how a permitted request ended.
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -64,11 +64,16 @@
 	repeatable := x.route.Kind.Repeatable()
 	repeat := false
 	for tries := 0; ; tries++ {
-		permit, err := x.handler.config.Permits.Acquire(x.ctx, x.permitRequest(repeat))
+		request := x.permitRequest(repeat)
+		permit, err := x.handler.config.Permits.Acquire(x.ctx, request)
 		if err != nil {
 			x.giveUpWaiting(repeat, "no-permit")
 			return
 		}
+		if permit.Refused == admission.QuotaSpent {
+			x.refuseQuota(request.Team, permit.RetryAfter)
+			return
+		}
 		if permit.Refused != "" {
 			// 503 is safe here: either each target reached before has stated that the
 			// request did not run, or the request is repeatable.
@@ -295,6 +300,17 @@
 	x.writeStatus(http.StatusServiceUnavailable, reason)
 }
 
+// refuseQuota responds with 429: the team has reached its limit. The request did not run
+// and never will. after is the time until the team has room for it.
+func (x *exchange) refuseQuota(team string, after time.Duration) {
+	reason := string(admission.QuotaSpent)
+	x.handler.config.Dialect.RetryAfter(x.w.Header(), after)
+	x.handler.metrics.refused(reason)
+	x.handler.metrics.quotaSpent(x.view.Config, team)
+	x.log(events.RequestTurnedAway).Str("reason", reason).Str("team", team).Dur("retry_after", after).Send()
+	x.writeStatus(http.StatusTooManyRequests, reason)
+}
+
 // respondError responds with an error status that comes from this VM and not from a
 // target.
 func (x *exchange) respondError(status int, reason string) {
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -402,13 +402,17 @@
 }
 
 // TestRefusalSaysWhenToComeBack checks that a refusal has a Retry-After header and that
-// the request has not run.
+// the request has not run, and that it has the status 429 if the team has reached its limit.
 func TestRefusalSaysWhenToComeBack(t *testing.T) {
 	f := startFixture(t, "")
 	f.refuse = admission.WouldBeLate
 	answer := f.send(t, "GET", "/safe/", "a1", "")
 	assert.Equal(t, answer.status, http.StatusServiceUnavailable)
 	assert.Equal(t, answer.header.Get("Retry-After"), "0.250")
+	f.refuse = admission.QuotaSpent
+	answer = f.send(t, "GET", "/safe/", "a2", "")
+	assert.Equal(t, answer.status, http.StatusTooManyRequests)
+	assert.Equal(t, answer.header.Get("Retry-After"), "0.250")
 	assert.Equal(t, len(f.runs()), 0)
 }
 
--- a/internal/request/forward/metrics.go
+++ b/internal/request/forward/metrics.go
@@ -1,6 +1,9 @@
 package forward
 
 import (
+	"cmp"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -19,6 +22,7 @@
 type metrics struct {
 	scope       tally.Scope
 	callersLeft tally.Counter
+	teams       teamLabels
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -42,6 +46,44 @@
 	m.scope.Tagged(map[string]string{"reason": reason}).Counter("requests_refused").Inc(1)
 }
 
+// quotaSpent counts a request of a team that has reached its limit.
+func (m *metrics) quotaSpent(config *fleet.Config, team string) {
+	m.scope.Tagged(map[string]string{"team": m.teams.label(config, team)}).Counter("quota_refused").Inc(1)
+}
+
+const (
+	// namedTeams is the number of teams that counters name, those with the highest rates.
+	// The others are counted as otherTeams.
+	namedTeams = 20
+	otherTeams = "other"
+)
+
+// teamLabels returns the names of teams for counters. The number of names is bounded, so
+// that the counters are.
+type teamLabels struct {
+	mu      sync.Mutex
+	version uint64
+	labels  map[string]bool
+}
+
+// label returns the name under which a team of a configuration is counted.
+func (t *teamLabels) label(config *fleet.Config, team string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.labels == nil || t.version != config.Version {
+		byRate := slices.Clone(config.Teams)
+		slices.SortStableFunc(byRate, func(a, b fleet.Team) int { return cmp.Compare(b.Rate, a.Rate) })
+		t.version, t.labels = config.Version, map[string]bool{}
+		for _, largest := range byRate[:min(len(byRate), namedTeams)] {
+			t.labels[largest.Name] = true
+		}
+	}
+	if t.labels[team] {
+		return team
+	}
+	return otherTeams
+}
+
 func (m *metrics) failed(reason string) {
 	m.scope.Tagged(map[string]string{"reason": reason}).Counter("requests_failed").Inc(1)
 }
--- a/internal/request/quota/ledger.go
+++ b/internal/request/quota/ledger.go
@@ -27,13 +27,12 @@
 // Ledger counts the requests of all VMs, on the VM whose broker permits them. It is not
 // safe for concurrent use.
 type Ledger[ID comparable] struct {
-	rule      Rule
-	origin    time.Time
-	startedAt time.Duration
-	accounts  map[string]*account
-	places    map[ID]*place
-	sweptAt   time.Duration
-	vms       map[string]*vmState
+	rule     Rule
+	origin   time.Time
+	accounts map[string]*account
+	places   map[ID]*place
+	sweptAt  time.Duration
+	vms      map[string]*vmState
 	// former is the last state of the former broker, and formerVMs the number of VMs that
 	// it knew and that this broker does not.
 	former    State
@@ -326,4 +325,5 @@
 	return total
 }
 
-func coarse(at, length time.Duration) int64 { return int64(at / (length / useBuckets)) }
+// coarse returns the number of the coarse bucket that contains a time.
+func coarse(at, length time.Duration) int64 { return int64(at / max(length/useBuckets, 1)) }
