--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -75,6 +75,10 @@
 			x.giveUpWaiting(repeat, "no-permit")
 			return
 		}
+		if permit.Refused == admission.QuotaSpent {
+			x.refuseQuota(permit.RetryAfter)
+			return
+		}
 		if permit.Refused != "" {
 			// 503 is safe here: either each target reached before has stated that the
 			// request did not run, or the request is repeatable.
@@ -334,6 +338,18 @@
 	x.writeStatus(http.StatusServiceUnavailable, reason)
 }
 
+// refuseQuota responds with 429: the team has reached its limit. The request did not run
+// and never will. after is the time until the team has room for it.
+func (x *exchange) refuseQuota(after time.Duration) {
+	reason := string(admission.QuotaSpent)
+	x.handler.config.Dialect.RetryAfter(x.w.Header(), after)
+	x.handler.metrics.refused(reason)
+	x.handler.metrics.quotaSpent(x.allowedBy, x.team)
+	x.countTeam("refused")
+	x.log(events.RequestTurnedAway).Str("reason", reason).Dur("retry_after", after).Send()
+	x.writeStatus(http.StatusTooManyRequests, reason)
+}
+
 // respondError responds with an error status that comes from this VM and not from a
 // target.
 func (x *exchange) respondError(status int, reason string) {
--- a/internal/request/forward/metrics.go
+++ b/internal/request/forward/metrics.go
@@ -57,6 +57,11 @@
 	m.scope.Tagged(map[string]string{"reason": reason}).Counter("requests_refused").Inc(1)
 }
 
+// quotaSpent counts a request of a team that has reached its limit.
+func (m *metrics) quotaSpent(config *fleet.Config, team *fleet.Team) {
+	m.scope.Tagged(map[string]string{"team": m.teams.of(config, team)}).Counter("quota_refused").Inc(1)
+}
+
 func (m *metrics) failed(reason string) {
 	m.scope.Tagged(map[string]string{"reason": reason}).Counter("requests_failed").Inc(1)
 }
