--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -109,6 +109,11 @@
 	Refused Reason
 	// RetryAfter is how long a refused caller should wait before it tries again.
 	RetryAfter time.Duration
+	// Shared is set for a local permit for a slot that belongs to the VM. LoadAge is the
+	// age of the target's last report at a local permit, if LoadKnown.
+	Shared    bool
+	LoadAge   time.Duration
+	LoadKnown bool
 }
 
 // End reports the end of a permitted request.
@@ -154,6 +159,12 @@
 	// Doubt, if set, reports whether a target may have restarted unseen. A cautious broker
 	// treats it as cold.
 	Doubt func(target fleet.Life, now time.Time) bool
+	// Loads, if set, is what the VM of a cautious broker knows of the load of targets.
+	// Without it, the broker takes into account only its own permits.
+	Loads *Loads
+	// VM is the name of the VM of a broker with Loads. Of targets of equal cost, each VM
+	// prefers others.
+	VM string
 	// NotOwner, if set, is called when a target has refused a request because
 	// it does not own the key.
 	NotOwner func(service string, key uint16, target fleet.Life)
@@ -199,7 +210,7 @@
 	if view.Config == nil {
 		return
 	}
-	if previous != nil && previous.SameTargets(view) {
+	if previous != nil && previous.SameTargets(view) && (b.config.Loads == nil || previous.SameMembers(view)) {
 		// Most views differ only in the owners of keys, and going through the
 		// targets is expensive: there are thousands.
 		for _, p := range b.pools {
@@ -349,6 +360,24 @@
 	return Observation{Slowness: t.slowness, FailureShare: t.failures, Running: t.running}, true
 }
 
+// Balance returns, for each service with requests in flight, the number at the busiest usable
+// target over the mean of these targets.
+func (b *Broker) Balance() map[string]float64 {
+	ratios := map[string]float64{}
+	for name, p := range b.pools {
+		most, sum, count := 0, 0, 0
+		for _, t := range p.targets {
+			if t.usable {
+				most, sum, count = max(most, t.running), sum+t.running, count+1
+			}
+		}
+		if sum > 0 {
+			ratios[name] = float64(most*count) / float64(sum)
+		}
+	}
+	return ratios
+}
+
 // Work returns the expected work of one request of a class in seconds; 0 if
 // none has been measured.
 func (b *Broker) Work(service, class string) float64 {
--- a/internal/request/admission/choice.go
+++ b/internal/request/admission/choice.go
@@ -62,6 +62,9 @@
 func (p *pool) expectedTime(r *Request, t *target, now time.Time) time.Duration {
 	work := p.classWork(r.Class, r.Aim.Sub(r.arrived))
 	slowdown := 1 + occupancySlowdown*float64(t.running)/float64(max(t.Slots, 1))
+	if p.broker.config.Loads != nil {
+		slowdown = p.localSlowdown(t, now)
+	}
 	return seconds(work*t.relativeTime(now)*slowdown) + transitTime
 }
 
@@ -103,6 +106,9 @@
 	if !t.usable || t.running >= t.Slots || now.Before(t.backoffUntil) {
 		return false
 	}
+	if p.broker.config.Loads != nil && !p.hasRoom(t, now) {
+		return false
+	}
 	if p.broker.config.Cautious {
 		return !t.cold(now) && (p.broker.config.Doubt == nil || !p.broker.config.Doubt(t.Life, now))
 	}
@@ -165,7 +171,8 @@
 // It shrinks as the slots fill up: a service with free slots can afford slower
 // targets to save connections and cross-domain traffic, a busy one needs the quickest.
 func (p *pool) localityMargin(r *Request) time.Duration {
-	if p.running >= p.slots {
+	if p.running >= p.slots || p.broker.config.Loads != nil {
+		// The VM does not know how many slots are free.
 		return 0
 	}
 	free := 1 - float64(p.running)/float64(p.slots)
@@ -216,14 +223,14 @@
 		if t == nil || !t.usable {
 			return 0, 0
 		}
-		return t.Slots, p.expectedTime(r, t, now)
+		return p.localSlots(t.Slots), p.expectedTime(r, t, now)
 	}
 	cached, ok := p.capacities[r.Class]
 	if !ok || len(p.sortedTargets) <= maxCandidates || now.Sub(cached.at) > capacityMaxAge {
 		cached = p.sumCapacity(r, now)
 		p.capacities[r.Class] = cached
 	}
-	return cached.slots, cached.holdTime
+	return p.localSlots(cached.slots), cached.holdTime
 }
 
 // capacity is the capacity of a service without keys for one class: the
--- a/internal/request/admission/pool.go
+++ b/internal/request/admission/pool.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
@@ -74,6 +77,12 @@
 	// of average speed.
 	meanWork map[string]float64
 	repeats  *repeats
+	// The rest is used by a broker with Loads. vms is the number of VMs, shared is set if
+	// each slot belongs to one of them, meanOthers is Loads.meanOthers as of meanAt.
+	vms        int
+	shared     bool
+	meanOthers float64
+	meanAt     time.Time
 }
 
 func newPool(b *Broker, name string) *pool {
@@ -94,17 +103,41 @@
 		}
 	}
 	p.sortedTargets = p.sortedTargets[:0]
-	p.slots, p.running, p.free = 0, 0, p.free[:0]
+	p.slots = 0
 	clear(p.capacities)
 	for _, declared := range present {
 		t := p.targets[declared.ID]
 		if t == nil {
 			t = newTarget(declared, now)
+			if vm := p.broker.config.VM; vm != "" {
+				t.rank = xxh3.HashString(vm + "/" + t.ID)
+			}
 			p.targets[declared.ID] = t
 		}
-		t.Target = *declared
+		t.Target, t.declaredSlots = *declared, declared.Slots
 		t.usable = view.Usable(declared)
 		p.sortedTargets = append(p.sortedTargets, t)
+		if t.usable {
+			p.slots += t.Slots
+		}
+	}
+	slices.SortFunc(p.sortedTargets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+	if p.broker.config.Loads != nil {
+		p.planLocal(view)
+	}
+	p.recount()
+	p.updateOwners(view, now)
+}
+
+// recount sets the sums over the usable targets and the list of free ones. The order of
+// the list differs between VMs, so that they prefer different targets of equal cost.
+func (p *pool) recount() {
+	p.slots, p.running, p.free = 0, 0, p.free[:0]
+	order := slices.Collect(maps.Values(p.targets))
+	if p.broker.config.VM != "" {
+		slices.SortFunc(order, func(a, b *target) int { return cmp.Compare(a.rank, b.rank) })
+	}
+	for _, t := range order {
 		t.freeIndex = notFree
 		if t.usable {
 			p.slots += t.Slots
@@ -112,8 +145,6 @@
 			p.updateFree(t)
 		}
 	}
-	slices.SortFunc(p.sortedTargets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
-	p.updateOwners(view, now)
 }
 
 // updateOwners applies the owners of keys in a view.
@@ -239,7 +270,9 @@
 	if r.Repeat {
 		p.repeats.countRepeat(now)
 	}
-	p.broker.config.Decide(Decision{ID: r.ID, Target: t.Life})
+	decision := Decision{ID: r.ID, Target: t.Life}
+	p.describe(&decision, t, now)
+	p.broker.config.Decide(decision)
 }
 
 // addRunning adds change to the number of requests in flight at a target.
@@ -321,6 +354,9 @@
 	if end.HasLoad && end.Load.Pace > 0 {
 		t.pace, t.paceAt = float64(end.Load.Pace)/100, now
 	}
+	if end.HasLoad && p.broker.config.Loads != nil {
+		p.broker.config.Loads.Report(t.Life, end.Load, t.running, now)
+	}
 	p.recordResult(granted, end, now)
 	if p.service == nil {
 		return
--- a/internal/request/admission/target.go
+++ b/internal/request/admission/target.go
@@ -50,6 +50,11 @@
 // target is the broker's state of one target.
 type target struct {
 	fleet.Target
+	// declaredSlots is the number of slots that the target has; Slots is lower for a
+	// cautious broker if only some of them belong to its VM.
+	declaredSlots int
+	// rank orders targets differently for each VM, if the broker knows its VM.
+	rank uint64
 	// usable is set while new requests may be sent to the target.
 	usable bool
 	// running is the number of requests in flight.
--- a/internal/version/fleet/view.go
+++ b/internal/version/fleet/view.go
@@ -111,6 +111,9 @@
 	return v.Config == other.Config && sameMap(v.Targets, other.Targets) && sameMap(v.Evacuated, other.Evacuated)
 }
 
+// SameMembers reports whether another view has the same VMs.
+func (v *View) SameMembers(other *View) bool { return sameMap(v.Members, other.Members) }
+
 func sameMap[K comparable, V any](a, b map[K]V) bool {
 	return reflect.ValueOf(a).Pointer() == reflect.ValueOf(b).Pointer()
 }
