--- a/cmd/chestnutcoursed/platform.go
+++ b/cmd/chestnutcoursed/platform.go
@@ -87,6 +87,10 @@
 
 // gatewaySettings converts the platform's settings to those of the gateway.
 func gatewaySettings(s *platform.Settings, advertised string) gateway.Settings {
+	var loads *admission.Loads
+	if s.Bounds.EvenLoad {
+		loads = admission.NewLoads()
+	}
 	return gateway.Settings{
 		VM: s.VM, FailureDomain: s.FailureDomain,
 		Callers: s.CallersAddress, Ready: s.ReadyAddress, Peers: s.PeersAddress, Advertised: advertised, Metrics: s.MetricsAddress,
@@ -95,7 +99,7 @@
 			Budget: admission.Budget{
 				Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow,
 			},
-			ColdFactor: s.Bounds.ColdFactor,
+			ColdFactor: s.Bounds.ColdFactor, Loads: loads,
 		},
 		LongestHold: s.Bounds.LongestGrant, StopWithin: s.Bounds.StopTimeout,
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -161,7 +161,7 @@
 	})
 	g.desk = permits.New(permits.Config{
 		Self: g.self.VM, Broker: broker, Sender: g.transport, View: g.view.Load, Alive: g.brokerAlive,
-		ContactLost: g.pools.ContactLost,
+		ContactLost: g.pools.ContactLost, Metrics: g.metrics.Scope,
 	})
 	g.coordinator = coordinator.New(coordinator.Config{
 		Self:       g.self,
--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
@@ -47,8 +49,8 @@
 type Config struct {
 	// Self is the name of this VM.
 	Self string
-	// Broker configures the brokers of this VM; New sets Decide, Serve and
-	// Cautious.
+	// Broker configures the brokers of this VM; New sets Decide, Serve, Cautious and VM.
+	// Loads, if set, is used by local decisions only.
 	Broker admission.Config
 	Sender peer.ControlSender
 	// View returns the current view.
@@ -58,6 +60,8 @@
 	// ContactLost, if set, returns when this VM noticed that the target has closed all of
 	// its connections; zero if it has not. It is called without locks of the desk.
 	ContactLost func(fleet.Life) time.Time
+	// Metrics, if set, receives counts of permits and the balance of the load.
+	Metrics tally.Scope
 }
 
 // Desk obtains and grants permits on one VM: it is the broker of the services that
@@ -86,7 +90,10 @@
 	queued       map[uint64]bool
 	backoffUntil map[string]time.Time
 	doubts       doubts
-	ticking      bool
+	// moved holds the keys that have changed owner lately, by service.
+	moved   map[string][]movedRange
+	metrics *metrics
+	ticking bool
 	// replies are the messages to send after mu has been released.
 	replies []reply
 }
@@ -102,16 +109,20 @@
 	d := &Desk{
 		config: config, demand: map[string]*keyspace.Load{}, pending: map[uint64]chan admission.Decision{},
 		queued: map[uint64]bool{}, backoffUntil: map[string]time.Time{}, applied: map[*admission.Broker]*fleet.View{},
-		doubts: doubts{},
+		doubts: doubts{}, moved: map[string][]movedRange{}, metrics: newMetrics(config.Metrics),
 	}
 	d.number.Store(rand.Uint64N(initialNumberRange))
 	brokerConfig := config.Broker
+	brokerConfig.Loads = nil
 	brokerConfig.Decide = d.deliver
 	brokerConfig.Serve = func(service string) bool { return config.View().Brokers[service] == config.Self }
 	d.broker = admission.New(brokerConfig)
 	fallbackConfig := config.Broker
 	fallbackConfig.Decide = d.deliver
 	fallbackConfig.Cautious = true
+	if fallbackConfig.Loads != nil {
+		fallbackConfig.VM = config.Self
+	}
 	// The fallback decides under mu.
 	fallbackConfig.Doubt = func(life fleet.Life, now time.Time) bool { return d.doubts.about(life, now) }
 	d.fallback = admission.New(fallbackConfig)
@@ -131,6 +142,7 @@
 func (d *Desk) Update(view *fleet.View) {
 	now := time.Now()
 	d.mu.Lock()
+	d.recordMoves(d.latest, view, now)
 	d.latest = view
 	for _, b := range []*admission.Broker{d.broker, d.fallback} {
 		if b.Busy() {
@@ -152,6 +164,14 @@
 // Acquire requests a permit and waits for the decision, which may be a refusal. It
 // assigns the ID of the request. The only error is that of the context.
 func (d *Desk) Acquire(ctx context.Context, r admission.Request) (Permit, error) {
+	permit, err := d.acquire(ctx, r)
+	if err == nil && permit.Refused == "" {
+		d.started(permit)
+	}
+	return permit, err
+}
+
+func (d *Desk) acquire(ctx context.Context, r admission.Request) (Permit, error) {
 	for {
 		broker := d.config.View().Brokers[r.Service]
 		switch {
@@ -165,7 +185,7 @@
 		case broker == "", !d.mayAsk(broker) && !d.needsBroker(broker, &r):
 			permit, err := d.acquireLocal(ctx, r, d.fallback, "")
 			if err == nil && permit.Refused == "" && d.lostContact(permit.Target) {
-				d.End(permit, admission.Canceled, 0, fleet.Load{}, false)
+				d.endLocal(d.fallback, admission.End{ID: permit.ID, Result: admission.Canceled})
 				continue
 			}
 			return permit, err
@@ -181,9 +201,13 @@
 // repeat must, because local decisions refuse all repeats. So must a request for which this
 // VM knows no warm target: the broker may still permit it, since local decisions send nothing
 // to cold targets, and a change of the owner of a key reaches this VM up to a second later
-// than the broker.
+// than the broker. The same holds for a key that has changed owner lately.
 func (d *Desk) needsBroker(broker string, r *admission.Request) bool {
-	return d.config.Alive(broker) && (r.Repeat || !d.hasWarmTarget(d.config.View(), r, time.Now()))
+	if !d.config.Alive(broker) {
+		return false
+	}
+	now := time.Now()
+	return r.Repeat || !d.hasWarmTarget(d.config.View(), r, now) || d.movedLately(r.Service, r.Key, now)
 }
 
 // hasWarmTarget reports whether a view has a usable target for a request and that
@@ -321,6 +345,7 @@
 	if mayHaveEnded(result) {
 		d.doubt(p.Target, time.Now())
 	}
+	d.ended(p, load, hasLoad, time.Now())
 	end := admission.End{ID: p.ID, Result: result, Took: took, Load: load, HasLoad: hasLoad}
 	switch p.Broker {
 	case "":
@@ -480,6 +505,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	d.broker.Tick(now)
+	d.metrics.balance(d.broker, now)
 	d.fallback.Tick(now)
 	d.ticking = false
 	d.scheduleTick()
--- a/internal/process/permits/desk_test.go
+++ b/internal/process/permits/desk_test.go
@@ -29,6 +29,8 @@
 	delay time.Duration
 	// brokerSilent is set while no VM considers the broker alive.
 	brokerSilent bool
+	// configure, if set, changes the configuration of a desk.
+	configure func(*permits.Config)
 }
 
 type sender struct {
@@ -82,7 +84,7 @@
 }
 
 func (n *network) startWith(vm string, view func() *fleet.View) {
-	desk := permits.New(permits.Config{
+	config := permits.Config{
 		Self: vm, Sender: sender{n, vm}, View: view,
 		Broker: admission.Config{Budget: admission.Budget{Ratio: 0.2, Allowance: 10}, ColdFactor: 1.5},
 		Alive: func(string) bool {
@@ -90,7 +92,11 @@
 			defer n.mu.Unlock()
 			return !n.cut["broker"] && !n.brokerSilent
 		},
-	})
+	}
+	if n.configure != nil {
+		n.configure(&config)
+	}
+	desk := permits.New(config)
 	desk.Update(view())
 	n.mu.Lock()
 	defer n.mu.Unlock()
