--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -67,6 +67,8 @@
 	// Observe returns the measurements of a target by this VM's broker, and false if
 	// there are none.
 	Observe func(service, target string) (admission.Observation, bool)
+	// SteadyKeys is set if a target that is slow for a moment is to keep its keys.
+	SteadyKeys bool
 	// Dial opens a connection to an address and closes it.
 	Dial func(ctx context.Context, address string) error
 	// Demand calls use with the demand for the keys of a service that this VM's
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -136,6 +136,7 @@
 // owners returns the targets of a service with their capacities, in slots.
 func (c *Coordinator) owners(service *fleet.Service, now time.Time) []keyspace.Owner {
 	var owners []keyspace.Owner
+	c.lead.speeds.prune(now)
 	for _, t := range c.view.Targets {
 		if t.Service != service.Name {
 			continue
@@ -153,10 +154,14 @@
 	if !c.view.Usable(t) || lt.endedTargets[t.Life] || lt.isUnreachable(t.Life) {
 		return 0
 	}
-	capacity := float64(t.Slots)
+	speed := 1.0
 	if observed.Slowness > 0 {
-		capacity /= observed.Slowness
+		speed /= observed.Slowness
 	}
+	if c.config.SteadyKeys {
+		speed = c.lead.speeds.add(t.Life, speed, now)
+	}
+	capacity := float64(t.Slots) * speed
 	capacity *= 1 - observed.FailureShare
 	if c.observer.DeclaredCold(t.ID, now) {
 		// A mere assumption, which may concern many targets, moves no keys.
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -106,6 +106,8 @@
 	// planAt is when moves of keys are planned next; tidyAt is when slices with
 	// little load are joined next.
 	planAt, tidyAt time.Time
+	// speeds are the speeds of targets that were observed lately.
+	speeds steadySpeeds
 }
 
 // takeOver writes this VM into the record as the leader of the next term, and starts
@@ -142,7 +144,7 @@
 func newLeadership(record fleet.Record, revision int64, reserved fenceRange, formerEnded bool, view *fleet.View, hold time.Duration, now time.Time) *leadership {
 	l := &leadership{
 		record: record, revision: revision, writes: record.Write, leaseTable: newLeaseTable(record.Slices, reserved, hold),
-		members: map[string]*member{}, parts: newParts(), reachChecks: map[fleet.Life]bool{},
+		members: map[string]*member{}, parts: newParts(), reachChecks: map[fleet.Life]bool{}, speeds: steadySpeeds{},
 		leadingSince: now, storeAnsweredAt: now, renewRecordAt: now.Add(recordRenewEvery),
 	}
 	if formerEnded {
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -77,6 +77,11 @@
 	pendingCalls map[uint64]chan *peerv1.Control
 	// problems are the failures found so far.
 	problems []string
+	// slowness, if set, returns the measured slowness of a target; demand, if set, adds the
+	// measured demand. steadyKeys sets SteadyKeys of the nodes.
+	slowness   func(target string) float64
+	demand     func(*keyspace.Load)
+	steadyKeys bool
 	// checkEndedTargets extends the check of fences to targets that have ended.
 	checkEndedTargets bool
 	fenced            [checkedKeys]highestGrant
@@ -118,8 +123,13 @@
 }
 
 func newWorld(t *testing.T, seed uint64, nodes, targets int) *world {
+	return newWorldWith(t, seed, nodes, targets, true)
+}
+
+func newWorldWith(t *testing.T, seed uint64, nodes, targets int, steadyKeys bool) *world {
 	w := &world{
-		t: t, began: time.Now(), random: rand.New(rand.NewPCG(seed, 7)), memory: store.NewMemory(), nodes: map[string]*node{},
+		steadyKeys: steadyKeys,
+		t:          t, began: time.Now(), random: rand.New(rand.NewPCG(seed, 7)), memory: store.NewMemory(), nodes: map[string]*node{},
 		targets: map[string]*fakeTarget{}, cut: map[string]bool{}, refused: map[string]bool{}, pendingCalls: map[uint64]chan *peerv1.Control{},
 		storeAnswerDelays: map[string]time.Duration{}, connectDelays: map[string]time.Duration{}, connecting: map[string]int{},
 	}
@@ -164,7 +174,7 @@
 	n.coordinator = coordinator.New(coordinator.Config{
 		Self:       fleet.Member{VM: name, Incarnation: n.incarnation, Address: name + ":1", Processor: processorOf(name), FailureDomain: domainOf(name)},
 		RecordName: "own/record", Names: names, Loop: n.loop, Store: nodeStore{n}, Sender: n, Targets: n,
-		LinkRate: w.linkRate, LongestHold: 10 * time.Second, Publish: n.publish, Observe: n.observe, Demand: n.demand,
+		LinkRate: w.linkRate, LongestHold: 10 * time.Second, Publish: n.publish, Observe: n.observe, SteadyKeys: w.steadyKeys, Demand: n.demand,
 		Repeats: n.repeats, AdoptRepeats: n.adoptRepeats,
 		Dial: n.dial, Uptime: func() time.Duration { return time.Since(w.began) }, Logger: &logger,
 	})
@@ -238,7 +248,11 @@
 func (n *node) observe(_, id string) (admission.Observation, bool) {
 	n.world.mu.Lock()
 	defer n.world.mu.Unlock()
-	return admission.Observation{Slowness: 1, Running: n.world.inFlight[id]}, true
+	slowness := 1.0
+	if n.world.slowness != nil {
+		slowness = n.world.slowness(id)
+	}
+	return admission.Observation{Slowness: slowness, Running: n.world.inFlight[id]}, true
 }
 
 // repeats returns the retry-budget counters of the node's broker.
@@ -257,6 +271,11 @@
 // demand simulates an even load with a hot set that moves every 5 s.
 func (n *node) demand(_ string, now time.Time, use func(*keyspace.Load)) {
 	load := keyspace.NewLoad(now)
+	if n.world.demand != nil {
+		n.world.demand(load)
+		use(load)
+		return
+	}
 	hot := int(now.Unix()/5) * 9973 % fleet.Keys
 	for key := 0; key < fleet.Keys; key += 16 {
 		load.Add(uint16(key), 0.001)
@@ -513,25 +532,30 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, seed, nodes, targets)
 		play(w)
-		w.mu.Lock()
-		all := make([]*node, 0, len(w.nodes))
-		for _, n := range w.nodes {
-			all = append(all, n)
-		}
-		w.mu.Unlock()
-		for _, n := range all {
-			n.cancel()
-		}
-		// Calls in flight end by their own timeouts.
-		time.Sleep(15 * time.Second)
-		if len(w.problems) == 0 {
-			return
-		}
-		for _, line := range w.history {
-			t.Log(line)
-		}
-		for _, problem := range w.problems {
-			t.Errorf("seed %d: %s", seed, problem)
-		}
+		w.finish(seed)
 	})
 }
+
+// finish ends the nodes and reports the problems.
+func (w *world) finish(seed uint64) {
+	w.mu.Lock()
+	all := make([]*node, 0, len(w.nodes))
+	for _, n := range w.nodes {
+		all = append(all, n)
+	}
+	w.mu.Unlock()
+	for _, n := range all {
+		n.cancel()
+	}
+	// Calls in flight end by their own timeouts.
+	time.Sleep(15 * time.Second)
+	if len(w.problems) == 0 {
+		return
+	}
+	for _, line := range w.history {
+		w.t.Log(line)
+	}
+	for _, problem := range w.problems {
+		w.t.Errorf("seed %d: %s", seed, problem)
+	}
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -167,7 +167,7 @@
 		Self:       g.self,
 		RecordName: platform.RecordName, Names: platform.Names, Loop: g.loop, Store: platform.Store,
 		Sender: g.transport, Targets: platform.Targets, LongestHold: g.settings.LongestHold, LinkRate: g.settings.LinkRate,
-		Publish: g.publish, Observe: g.desk.Observe, Demand: g.desk.Demand, Dial: dial,
+		Publish: g.publish, Observe: g.desk.Observe, SteadyKeys: broker.Loads != nil, Demand: g.desk.Demand, Dial: dial,
 		Repeats: g.desk.Repeats, AdoptRepeats: g.desk.AdoptRepeats, Uptime: uptime, Logger: &g.logger,
 	})
 	g.handler = forward.New(forward.Config{
