--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -345,7 +345,7 @@
 	if mayHaveEnded(result) {
 		d.doubt(p.Target, time.Now())
 	}
-	d.ended(p, load, hasLoad, time.Now())
+	d.ended(p, result, load, hasLoad, time.Now())
 	end := admission.End{ID: p.ID, Result: result, Took: took, Load: load, HasLoad: hasLoad}
 	switch p.Broker {
 	case "":
--- a/internal/process/permits/local.go
+++ b/internal/process/permits/local.go
@@ -80,7 +80,7 @@
 
 // ended records the end of a permit that the fallback did not grant, and the load that the
 // target reported. The fallback records those of its own permits.
-func (d *Desk) ended(p Permit, load fleet.Load, hasLoad bool, now time.Time) {
+func (d *Desk) ended(p Permit, result admission.Result, load fleet.Load, hasLoad bool, now time.Time) {
 	loads := d.config.Broker.Loads
 	if loads == nil || p.Broker == "" {
 		return
@@ -88,9 +88,15 @@
 	t := d.config.View().Targets[p.Target.ID]
 	d.locked(func() {
 		loads.Ended(p.Target)
-		if hasLoad && t != nil && t.Life == p.Target {
-			observed, _ := d.fallback.Observe(t.Service, t.ID)
+		if t == nil || t.Life != p.Target {
+			return
+		}
+		observed, _ := d.fallback.Observe(t.Service, t.ID)
+		switch {
+		case hasLoad:
 			loads.Report(p.Target, load, observed.Running, now)
+		case result.TurnedAway():
+			loads.Full(p.Target, t.Slots, observed.Running, now)
 		}
 	})
 }
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -64,6 +64,9 @@
 	Failed
 )
 
+// TurnedAway reports whether a target that is full may end a request with the result.
+func (r Result) TurnedAway() bool { return r == NotRun || r == Broken }
+
 // ID identifies a request across all VMs.
 type ID struct {
 	VM     string
--- a/internal/request/admission/evenload_test.go
+++ b/internal/request/admission/evenload_test.go
@@ -274,9 +274,11 @@
 	}
 	if r.by == w.broker && v.loads != nil {
 		v.loads.Ended(life(r.target))
+		observed, _ := v.local.(*real).broker.Observe("s", life(r.target).ID)
 		if end.HasLoad {
-			observed, _ := v.local.(*real).broker.Observe("s", life(r.target).ID)
 			v.loads.Report(life(r.target), end.Load, observed.Running, w.now)
+		} else {
+			v.loads.Full(life(r.target), evenSlots, observed.Running, w.now)
 		}
 	}
 	end.ID = r.ID
--- a/internal/request/admission/local.go
+++ b/internal/request/admission/local.go
@@ -60,6 +60,9 @@
 	// zero if there is none.
 	others     float64
 	reportedAt time.Time
+	// full is set if the target has not reported it but turned a request away. That is no
+	// sample of the load of all targets.
+	full bool
 }
 
 // NewLoads returns the loads of a VM that knows nothing yet.
@@ -95,7 +98,14 @@
 	}
 	known := l.of(life)
 	known.others = math.Max(float64(load.Running+load.Waiting-running-known.elsewhere), 0)
-	known.reportedAt = now
+	known.reportedAt, known.full = now, false
+}
+
+// Full records that a target of a number of slots has turned a request away without saying
+// its load: its slots and its queue, which is assumed to be as long, are probably full.
+func (l *Loads) Full(life fleet.Life, slots, running int, now time.Time) {
+	l.Report(life, fleet.Load{Running: slots, Waiting: slots}, running, now)
+	l.targets[life].full = true
 }
 
 // age returns the age of the last report of a target; false if there is none.
@@ -120,7 +130,7 @@
 	sum, weights, slots := 0.0, priorWeight, 0
 	for _, t := range targets {
 		slots += t.declaredSlots
-		if age, ok := l.age(t.Life, now); ok {
+		if age, ok := l.age(t.Life, now); ok && !l.targets[t.Life].full {
 			weight := math.Exp(-age.Seconds() / meanTime.Seconds())
 			sum, weights = sum+weight*l.targets[t.Life].others, weights+weight
 		}
--- a/internal/request/admission/pool.go
+++ b/internal/request/admission/pool.go
@@ -354,8 +354,12 @@
 	if end.HasLoad && end.Load.Pace > 0 {
 		t.pace, t.paceAt = float64(end.Load.Pace)/100, now
 	}
-	if end.HasLoad && p.broker.config.Loads != nil {
-		p.broker.config.Loads.Report(t.Life, end.Load, t.running, now)
+	switch loads := p.broker.config.Loads; {
+	case loads == nil:
+	case end.HasLoad:
+		loads.Report(t.Life, end.Load, t.running, now)
+	case end.Result.TurnedAway():
+		loads.Full(t.Life, t.declaredSlots, t.running, now)
 	}
 	p.recordResult(granted, end, now)
 	if p.service == nil {
