--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -62,11 +62,11 @@
 		go x.body.readAhead()
 	}
 	repeatable := x.route.Kind.Repeatable()
-	repeat := false
+	repeat, mayHaveRun := false, false
 	for tries := 0; ; tries++ {
 		permit, err := x.handler.config.Permits.Acquire(x.ctx, x.permitRequest(repeat))
 		if err != nil {
-			x.giveUpWaiting(repeat, "no-permit")
+			x.giveUpWaiting(mayHaveRun, "no-permit")
 			return
 		}
 		if permit.Refused != "" {
@@ -85,7 +85,7 @@
 			x.attempts++
 			x.exclude = append(x.exclude, permit.Target.ID)
 		}
-		repeat = repeat || o.arrived
+		repeat, mayHaveRun = repeat || o.arrived, mayHaveRun || o.mayHaveRun
 		x.logAttempt(permit, o)
 		if o.mayHaveRun && !repeatable {
 			x.respondMayHaveRun(o)
@@ -242,14 +242,14 @@
 }
 
 // giveUpWaiting responds to a request whose deadline has passed, or whose caller has
-// left, while it waited for a permit. If an earlier attempt may have reached a target,
-// the response does not promise that the request did not run.
-func (x *exchange) giveUpWaiting(mayHaveArrived bool, reason string) {
+// left, while it waited for a permit. If an earlier attempt may have run, the response does
+// not promise that the request did not run.
+func (x *exchange) giveUpWaiting(mayHaveRun bool, reason string) {
 	if x.r.Context().Err() != nil {
 		x.callerLeft()
 		return
 	}
-	if mayHaveArrived {
+	if mayHaveRun {
 		x.respondError(http.StatusGatewayTimeout, reason)
 		return
 	}
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -49,6 +49,8 @@
 	// waiting, if set, makes each request wait for its permit until its caller
 	// leaves; it receives a signal when a request begins to wait.
 	waiting chan struct{}
+	// holdRepeats makes repeats wait for their permit until their deadline.
+	holdRepeats bool
 
 	mu      sync.Mutex
 	next    int
@@ -66,6 +68,10 @@
 		<-ctx.Done()
 		return permits.Permit{}, ctx.Err()
 	}
+	if f.holdRepeats && r.Repeat {
+		<-ctx.Done()
+		return permits.Permit{}, ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.askedAt = time.Now()
@@ -401,6 +407,21 @@
 	assert.Equal(t, f.pools.Open(), 0)
 }
 
+// TestRepeatWithoutAPermit guards against a request that no target ran, but whose caller is
+// told that it may have run, because a repeat waited for its permit until the deadline.
+func TestRepeatWithoutAPermit(t *testing.T) {
+	for fault, c := range map[string]struct {
+		path   string
+		status int
+	}{"refuse": {"/once/", http.StatusServiceUnavailable}, "reset": {"/safe/", http.StatusGatewayTimeout}} {
+		f := startFixture(t, fault, "")
+		f.holdRepeats = true
+		answer := f.sendWithin(t, 300*time.Millisecond, "POST", c.path, "a1", "body")
+		assert.NilError(t, answer.err)
+		assert.Equal(t, answer.status, c.status, "after %s", fault)
+	}
+}
+
 // TestRefusalSaysWhenToComeBack checks that a refusal has a Retry-After header and that
 // the request has not run.
 func TestRefusalSaysWhenToComeBack(t *testing.T) {
