--- a/internal/request/admission/evenload_test.go
+++ b/internal/request/admission/evenload_test.go
@@ -566,7 +566,9 @@
 
 // decideBy sets who decides: the broker, and each VM by a candidate.
 func (w *evenWorld) decideBy(name string) {
-	w.broker = newReal(w, defaultConfig())
+	central := defaultConfig()
+	central.VM = "broker"
+	w.broker = newReal(w, central)
 	for _, v := range w.vms {
 		if pick := candidates[name]; pick != nil {
 			v.local = &simple{world: w, pick: pick(v)}
