--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -164,13 +164,13 @@
 	})
 	g.desk = permits.New(permits.Config{
 		Self: g.self.VM, Broker: broker, Sender: g.transport, View: g.view.Load, Alive: g.brokerAlive,
-		ContactLost: g.pools.ContactLost, Quota: g.settings.Quota,
+		ContactLost: g.pools.ContactLost, Quota: g.settings.Quota, Metrics: g.metrics.Scope,
 	})
 	g.coordinator = coordinator.New(coordinator.Config{
 		Self:       g.self,
 		RecordName: platform.RecordName, Names: platform.Names, Loop: g.loop, Store: platform.Store,
 		Sender: g.transport, Targets: platform.Targets, LongestHold: g.settings.LongestHold, LinkRate: g.settings.LinkRate,
-		Publish: g.publish, Observe: g.desk.Observe, Demand: g.desk.Demand, Dial: dial,
+		Publish: g.publish, Observe: g.desk.Observe, SteadyKeys: broker.Loads != nil, Demand: g.desk.Demand, Dial: dial,
 		Repeats: g.desk.Repeats, AdoptRepeats: g.desk.AdoptRepeats, Quotas: g.desk, Uptime: uptime, Logger: &g.logger,
 	})
 	g.handler = forward.New(forward.Config{
--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/admission"
@@ -54,8 +56,8 @@
 type Config struct {
 	// Self is the name of this VM.
 	Self string
-	// Broker configures the brokers of this VM; New sets Decide, Serve and
-	// Cautious.
+	// Broker configures the brokers of this VM; New sets Decide, Serve, Cautious and VM.
+	// Loads, if set, is used by local decisions only.
 	Broker admission.Config
 	Sender peer.ControlSender
 	// View returns the current view.
@@ -67,6 +69,8 @@
 	ContactLost func(fleet.Life) time.Time
 	// Quota is the rule for teams that have a limit.
 	Quota quota.Rule
+	// Metrics, if set, receives counts of permits and the balance of the load.
+	Metrics tally.Scope
 }
 
 // Desk obtains and grants permits on one VM: it is the broker of the services that
@@ -98,7 +102,10 @@
 	// reported has a lock of its own.
 	reported *reported
 	quotas   quotas
-	ticking  bool
+	// moved holds the keys that have changed owner lately, by service.
+	moved   map[string][]movedRange
+	metrics *metrics
+	ticking bool
 	// replies are the messages to send after mu has been released.
 	replies []reply
 }
@@ -114,17 +121,21 @@
 	d := &Desk{
 		config: config, demand: map[string]*keyspace.Load{}, pending: map[uint64]chan admission.Decision{},
 		queued: map[uint64]bool{}, backoffUntil: map[string]time.Time{}, applied: map[*admission.Broker]*fleet.View{},
-		doubts: doubts{}, reported: newReported(),
+		doubts: doubts{}, reported: newReported(), moved: map[string][]movedRange{}, metrics: newMetrics(config.Metrics),
 		quotas: quotas{rule: config.Quota, self: config.Self, share: quota.NewShare(config.Quota, config.Self, time.Now())},
 	}
 	d.number.Store(rand.Uint64N(initialNumberRange))
 	brokerConfig := config.Broker
+	brokerConfig.Loads = nil
 	brokerConfig.Decide = d.deliver
 	brokerConfig.Serve = func(service string) bool { return config.View().Brokers[service] == config.Self }
 	d.broker = admission.New(brokerConfig)
 	fallbackConfig := config.Broker
 	fallbackConfig.Decide = d.deliver
 	fallbackConfig.Cautious = true
+	if fallbackConfig.Loads != nil {
+		fallbackConfig.VM = config.Self
+	}
 	// The fallback decides under mu.
 	fallbackConfig.Doubt = func(life fleet.Life, now time.Time) bool { return d.doubts.about(life, now) }
 	fallbackConfig.Restricted = d.reported.restriction
@@ -148,6 +159,7 @@
 	if previous := d.latest; previous == nil || previous.Term != view.Term || previous.Leader != view.Leader {
 		d.quotas.leaderChanged(now)
 	}
+	d.recordMoves(d.latest, view, now)
 	d.latest = view
 	for _, b := range []*admission.Broker{d.broker, d.fallback} {
 		if b.Busy() {
@@ -171,9 +183,13 @@
 func (d *Desk) Acquire(ctx context.Context, r admission.Request) (Permit, error) {
 	for range maxUnusedPermits {
 		permit, err := d.acquire(ctx, r)
-		if err != nil || permit.Refused != "" || d.MaySend(permit.Target) {
+		if err != nil || permit.Refused != "" {
 			return permit, err
 		}
+		d.started(permit)
+		if d.MaySend(permit.Target) {
+			return permit, nil
+		}
 		d.End(permit, admission.Canceled, 0, fleet.Load{}, false)
 	}
 	return Permit{Decision: admission.Decision{Refused: admission.NoTarget, RetryAfter: unusedRetryAfter}}, nil
@@ -195,7 +211,7 @@
 		case broker == "", !d.mayAsk(broker) && !d.needsBroker(broker, &r):
 			permit, err := d.acquireLocal(ctx, r, d.fallback, "")
 			if err == nil && permit.Refused == "" && d.lostContact(permit.Target) {
-				d.End(permit, admission.Canceled, 0, fleet.Load{}, false)
+				d.endLocal(d.fallback, admission.End{ID: permit.ID, Result: admission.Canceled})
 				continue
 			}
 			return permit, err
@@ -210,12 +226,16 @@
 
 // needsBroker reports whether a request must wait for a broker that is slow but alive. A
 // repeat must, because local decisions refuse all repeats. So must a request for which this
-// VM knows no warm target or has spent its share of the team's quota. The broker may still
-// permit it: local decisions send nothing to cold targets, a change of the owner of a key
-// reaches this VM up to a second later than the broker, and other VMs may use less than their
-// shares.
+// VM knows no warm target, or whose key has changed owner lately, or for which it has spent its
+// share of the team's quota. The broker may still permit it: local decisions send nothing to
+// cold targets, a change of the owner of a key reaches this VM up to a second later than the
+// broker, and other VMs may use less than their shares.
 func (d *Desk) needsBroker(broker string, r *admission.Request) bool {
-	return d.config.Alive(broker) && (r.Repeat || !d.hasWarmTarget(d.config.View(), r, time.Now()) || d.shareSpent(r.Team))
+	if !d.config.Alive(broker) {
+		return false
+	}
+	now := time.Now()
+	return r.Repeat || !d.hasWarmTarget(d.config.View(), r, now) || d.movedLately(r.Service, r.Key, now) || d.shareSpent(r.Team)
 }
 
 // hasWarmTarget reports whether a view has a usable target for a request and that
@@ -359,6 +379,7 @@
 	if mayHaveEnded(result) {
 		d.doubt(p.Target, time.Now())
 	}
+	d.ended(p, result, load, hasLoad, time.Now())
 	end := admission.End{ID: p.ID, Result: result, Took: took, Load: load, HasLoad: hasLoad}
 	d.reported.addTo(&end, p.Target, time.Now())
 	if p.Broker != "" {
@@ -541,6 +562,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	d.broker.Tick(now)
+	d.metrics.balance(d.broker, now)
 	d.fallback.Tick(now)
 	d.ticking = false
 	d.scheduleTick()
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -59,6 +59,8 @@
 	metrics tally.TestScope
 	// desk, if set, decides in place of the fixture.
 	desk *permits.Desk
+	// holdRepeats makes repeats wait for their permit until their deadline.
+	holdRepeats bool
 
 	mu      sync.Mutex
 	next    int
@@ -84,6 +86,10 @@
 	if f.beforePermit != nil {
 		f.beforePermit(r)
 	}
+	if f.holdRepeats && r.Repeat {
+		<-ctx.Done()
+		return permits.Permit{}, ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.askedAt = time.Now()
@@ -474,6 +480,21 @@
 	assert.Equal(t, f.pools.Open(), 0)
 }
 
+// TestRepeatWithoutAPermit guards against a request that no target ran, but whose caller is
+// told that it may have run, because a repeat waited for its permit until the deadline.
+func TestRepeatWithoutAPermit(t *testing.T) {
+	for fault, c := range map[string]struct {
+		path   string
+		status int
+	}{"refuse": {"/once/", http.StatusServiceUnavailable}, "reset": {"/safe/", http.StatusGatewayTimeout}} {
+		f := startFixture(t, fault, "")
+		f.holdRepeats = true
+		answer := f.sendWithin(t, 300*time.Millisecond, "POST", c.path, "a1", "body")
+		assert.NilError(t, answer.err)
+		assert.Equal(t, answer.status, c.status, "after %s", fault)
+	}
+}
+
 // TestRefusalSaysWhenToComeBack checks that a refusal has a Retry-After header and that
 // the request has not run, and that it has the status 429 if the team has reached its limit.
 func TestRefusalSaysWhenToComeBack(t *testing.T) {
