--- a/internal/process/permits/reported.go
+++ b/internal/process/permits/reported.go
@@ -28,6 +28,8 @@
 // targetState is what this VM knows at first hand of one incarnation of a target.
 type targetState struct {
 	leaving bool
+	// leavingSince is when it said so.
+	leavingSince time.Time
 	// restUntil is the end of the back-off that the target has asked for, silentUntil that
 	// of the one after a request that it did not answer.
 	restUntil, silentUntil time.Time
@@ -90,7 +92,7 @@
 		s.answeredSentAt = sentAt
 	}
 	if n.Leaving && !s.leaving {
-		s.leaving, news.Leaving = true, true
+		s.leaving, s.leavingSince, news.Leaving = true, now, true
 	}
 	if n.Rest > 0 {
 		if !now.Before(s.restUntil) {
@@ -140,7 +142,7 @@
 	if s.silentUntil.After(until) {
 		until = s.silentUntil
 	}
-	return admission.Restriction{Leaving: s.leaving, Until: until}
+	return admission.Restriction{Leaving: s.leaving, Since: s.leavingSince, Until: until}
 }
 
 // addTo adds what a target has said of itself to the end of a permit.
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -131,8 +131,9 @@
 
 // Restriction is what keeps requests from a target, by its own word or by its silence.
 type Restriction struct {
-	// Leaving is set if the target is leaving.
+	// Leaving is set if the target is leaving, and has said so at Since.
 	Leaving bool
+	Since   time.Time
 	// Until is when the target takes requests again.
 	Until time.Time
 }
--- a/internal/request/admission/blocked.go
+++ b/internal/request/admission/blocked.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// The owner of a key may be unable to take requests: the key is on its way to it, or it
-// accepts no connections. A planned move takes less time than one request; after the loss
+// The owner of a key may be unable to take requests: the key is on its way to it, it accepts
+// no connections, or it is leaving. A planned move takes less time than one request; after the loss
 // of an owner it takes until the former owner's grants have run out, which is longer than
 // most callers wait. The broker does not know which it is, and expects that what has lasted
 // for some time goes on for as long again. Requests that are too late by then are refused
@@ -58,10 +58,16 @@
 		return now.Sub(p.blocked[i].since)
 	}
 	t := p.owner(r.Key)
+	if t == nil {
+		return 0
+	}
+	leaving := p.restriction(t)
 	switch {
-	case t != nil && now.Before(t.backoffUntil):
+	case leaving.Leaving:
+		return now.Sub(leaving.Since)
+	case now.Before(t.backoffUntil):
 		return now.Sub(t.unreachableSince)
-	case t != nil && now.Before(t.silentUntil):
+	case now.Before(t.silentUntil):
 		return now.Sub(t.silentSince)
 	}
 	return 0
--- a/internal/request/admission/restriction.go
+++ b/internal/request/admission/restriction.go
@@ -14,7 +14,7 @@
 		t.restUntil = until
 	}
 	if end.Leaving && !t.leaving {
-		t.leaving = true
+		t.leaving, t.leavingSince = true, now
 		if p.broker.config.Leaving != nil {
 			p.broker.config.Leaving(t.Life)
 		}
@@ -35,10 +35,12 @@
 
 // restriction returns what keeps requests from a target.
 func (p *pool) restriction(t *target) Restriction {
-	r := Restriction{Leaving: t.leaving, Until: t.restUntil}
+	r := Restriction{Leaving: t.leaving, Since: t.leavingSince, Until: t.restUntil}
 	if p.broker.config.Restricted != nil {
 		own := p.broker.config.Restricted(t.Life)
-		r.Leaving = r.Leaving || own.Leaving
+		if !r.Leaving {
+			r.Leaving, r.Since = own.Leaving, own.Since
+		}
 		r.Until = later(r.Until, own.Until)
 	}
 	return r
--- a/internal/request/admission/restriction_test.go
+++ b/internal/request/admission/restriction_test.go
@@ -82,7 +82,10 @@
 					return r.target != "t0" && !(keyed && r.Key < fleet.Keys/6)
 				}, (*simulatedRequest).inAim)
 				assert.Assert(t, others > 0.95, "%f of the requests for others met their aim", others)
-				atOnce := p.share(func(r *simulatedRequest) bool { return r.refused != "" && kind == "resting" },
+				atOnce := p.share(
+					func(r *simulatedRequest) bool {
+						return r.refused != "" && (kind == "resting" || kind == "leaving" && r.arrivedAt.Sub(noticedAt) > browse.deadline)
+					},
 					func(r *simulatedRequest) bool { return r.endedAt.Sub(r.arrivedAt) < 60*time.Millisecond })
 				assert.Assert(t, !(atOnce < 0.95), "%f of the refusals came at once", atOnce)
 			})
--- a/internal/request/admission/target.go
+++ b/internal/request/admission/target.go
@@ -77,8 +77,10 @@
 	backoffUntil     time.Time
 	connectFailures  int
 	unreachableSince time.Time
-	// leaving is set once the target has said that it is leaving, whatever the view says.
-	leaving bool
+	// leaving is set once the target has said that it is leaving, at leavingSince, whatever
+	// the view says.
+	leaving      bool
+	leavingSince time.Time
 	// restUntil is the time until which the target has asked to get no requests.
 	restUntil time.Time
 	// silent is set after a request that the target did not answer, until it has answered
