--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -393,7 +393,7 @@
 			events.DeclarationInvalid.Log(o.config.Logger).Str("object", object.Name).Err(err).Send()
 			return
 		}
-		if o.fleetConfig != nil && config.Version <= o.fleetConfig.Version {
+		if !config.Supersedes(o.fleetConfig) {
 			return
 		}
 		o.fleetConfig = config
--- a/internal/request/forward/deliver.go
+++ b/internal/request/forward/deliver.go
@@ -54,7 +54,7 @@
 	if x.allowedBy.HasTeams() {
 		x.handler.config.Dialect.SetTeam(header, x.teamName())
 	}
-	x.handler.config.Dialect.Address(header, t.ID, time.Until(x.deadline)-transitAllowance)
+	x.handler.config.Dialect.Address(header, t.ID, time.Until(x.deadline)-fleet.TransitAllowance)
 	request := &http.Request{
 		Method: x.r.Method, Host: x.r.Host, Header: header, ContentLength: x.r.ContentLength,
 		URL: &url.URL{Scheme: "http", Host: t.Address, Opaque: x.r.RequestURI}, Body: x.body.newReader(),
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -37,9 +37,6 @@
 	// unconfiguredRetryAfter is the retry delay suggested to callers while this VM lacks
 	// the configuration for their request.
 	unconfiguredRetryAfter = 300 * time.Millisecond
-	// transitAllowance is subtracted from the remaining time that targets are told,
-	// to allow for transit.
-	transitAllowance = 2 * time.Millisecond
 )
 
 // Dialect reads and writes the headers that differ between deployments.
