--- a/cmd/chestnutctl/main.go
+++ b/cmd/chestnutctl/main.go
@@ -1,4 +1,4 @@
-// Command chestnutctl is the operators' tool. It validates and submits manifests,
+// Command chestnutctl is the operators' tool. It checks configurations, validates and submits manifests,
 // drains and restores targets, VMs and failure domains, explains how keys are
 // routed, shows the status of the deployment, and generates load.
 //
@@ -15,7 +15,7 @@
 
 // registrations add the commands to the application.
 var registrations = []func(*kingpin.Application, *session){
-	registerManifest, registerTargets, registerSlices, registerRoute, registerDrain, registerStatus, registerLoad,
+	registerConfig, registerManifest, registerTargets, registerSlices, registerRoute, registerDrain, registerStatus, registerLoad,
 }
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/cmd/chestnutctl/manifest.go
+++ b/cmd/chestnutctl/manifest.go
@@ -229,7 +229,7 @@
 		content, err = os.ReadFile(name)
 	}
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "name a readable file", "the manifest cannot be read")
+		return nil, fault.Wrap(err, fault.Invalid, "name a readable file", "the file cannot be read")
 	}
 	return content, nil
 }
--- a/cmd/chestnutctl/session.go
+++ b/cmd/chestnutctl/session.go
@@ -111,7 +111,11 @@
 	var apiErr *apiError
 	var faultErr *fault.Error
 	var notInForce *notInForceError
+	var findings *findingsError
 	switch {
+	case errors.As(err, &findings):
+		fmt.Fprintln(s.stderr, "chestnutctl: "+findings.Error())
+		return findings.exitCode()
 	case errors.As(err, &apiErr):
 		s.printAPIError(apiErr)
 		return exitCode(apiErr.body.Kind)
