--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -110,6 +110,8 @@
 	watchRetryAt     time.Time
 	watchPause       time.Duration
 	recordUnreadable bool
+	// askPeersAt is when this VM may ask other VMs for the declarations again.
+	askPeersAt time.Time
 	// sharedHeartbeatAt is the arrival of the last heartbeat for readers outside the loop;
 	// nil before the first one.
 	sharedHeartbeatAt atomic.Pointer[time.Time]
@@ -231,7 +233,9 @@
 	if c.observer.Complete() {
 		view.Targets, view.Evacuated = c.observer.Targets(), c.observer.Evacuated()
 		// A leader that has read the same sends no list to this VM.
-		c.haveVersions.Targets = digestTargets(view.Targets, view.Evacuated)
+		if digest := digestTargets(view.Targets, view.Evacuated); digest != c.haveVersions.Targets {
+			c.haveVersions.Targets, c.source.changedAt = digest, c.config.Uptime()
+		}
 		c.source.leader = ""
 		c.noteObserved()
 	}
@@ -252,7 +256,7 @@
 	case *peerv1.Control_FleetState:
 		c.handleState(sender, kind.FleetState)
 	case *peerv1.Control_LeaderQuery:
-		return &peerv1.Control{Kind: &peerv1.Control_LeaderQueryReply{LeaderQueryReply: c.answerLeaderQuery()}}, true
+		return &peerv1.Control{Kind: &peerv1.Control_LeaderQueryReply{LeaderQueryReply: c.answerLeaderQuery(kind.LeaderQuery)}}, true
 	case *peerv1.Control_ProbeRequest:
 		go c.answerProbe(sender, message.Call, kind.ProbeRequest.Address)
 	default:
--- a/internal/process/coordinator/fuzz_test.go
+++ b/internal/process/coordinator/fuzz_test.go
@@ -53,6 +53,10 @@
 	{Kind: &peerv1.Control_MemberReport{MemberReport: &peerv1.MemberReport{Term: 99, HeardMillis: 1 << 63}}},
 	{Kind: &peerv1.Control_ProbeRequest{ProbeRequest: &peerv1.ProbeRequest{Address: "\x00"}}},
 	{Kind: &peerv1.Control_LeaderQuery{}},
+	{Kind: &peerv1.Control_LeaderQuery{LeaderQuery: &peerv1.LeaderQuery{Have: &peerv1.PartVersions{}, SentMillis: 1 << 63}}},
+	{Kind: &peerv1.Control_LeaderQueryReply{LeaderQueryReply: &peerv1.LeaderQueryReply{Declarations: &peerv1.FleetState{
+		Known: &peerv1.StoreKnowledge{ReportMillis: 1 << 63, AfterMillis: -1 << 62},
+	}}}},
 }
 
 // TestOddMessagesAreDropped checks that messages that no VM of this release sends are
--- a/internal/process/coordinator/knowledge.go
+++ b/internal/process/coordinator/knowledge.go
@@ -30,6 +30,16 @@
 	storeReturnSpread = time.Second
 	// watchedEnough is the age of what a heartbeat brings below which a VM ends its own watch.
 	watchedEnough = 1100 * time.Millisecond
+	// askBefore is how long before that a VM begins to ask others, peersAsked at a time,
+	// whether they know more: once some have read the declarations, or hear the leader, most
+	// others need not read them, and those that do not reach the store get them, too.
+	askBefore  = 100 * time.Millisecond
+	peersAsked = 2
+	// askPause is the pause before it asks again, so that a VM without the store asks several
+	// times within the 2 s. From askOftenUntil on, as the age of what it knows, it asks once in
+	// a report interval: the store is then away for most.
+	askPause      = 150 * time.Millisecond
+	askOftenUntil = 2500 * time.Millisecond
 	// heartbeatLate is the time beyond a report interval after which a VM that is about to
 	// watch reports again: the leader's answer may have been lost.
 	heartbeatLate = 100 * time.Millisecond
@@ -67,8 +77,9 @@
 	// leader is the incarnation of the leader that has the same targets, or had when it last
 	// sent a heartbeat; empty if this VM has read them from the store itself.
 	leader string
-	// knownAt is the uptime up to which the view has all changes; zero if unknown.
-	knownAt time.Duration
+	// knownAt is the uptime up to which the view has all changes; zero if unknown. It may have
+	// later ones, but none that were made after changedAt, when the targets last changed.
+	knownAt, changedAt time.Duration
 }
 
 // noteKnowledge records how recent the leader's knowledge is that this VM has after a
@@ -79,9 +90,10 @@
 		f.knownAt, f.known = former.knownAt, former.known
 	}
 	c.leaderTellsAge = state.Known != nil
+	c.noteStoreReached(state)
 	if c.hasDeclarations(state.Versions) {
 		c.source.leader = state.Leader.Incarnation
-		if at, ok := knownAtOf(state); ok {
+		if at, ok := c.knownAtOf(state); ok {
 			c.source.knownAt = max(c.source.knownAt, at)
 			f.knownAt, f.known = max(f.knownAt, at), true
 		}
@@ -89,20 +101,35 @@
 	c.freshness.Store(&f)
 }
 
+// noteStoreReached tells the observer up to when the store has answered another VM: entries
+// that are missing after a time in which only this VM did not reach it have been removed.
+func (c *Coordinator) noteStoreReached(state *peerv1.FleetState) {
+	if at, ok := c.knownAtOf(state); ok {
+		c.observer.NoteStoreReached(time.Now().Add(at - c.config.Uptime()))
+	}
+}
+
 // acceptsTargets reports whether the targets in a heartbeat may replace those in the view:
-// they come from the leader whose targets the view has, or are at least as recent. A new
-// leader may know less than this VM, and a target that this VM has seen leave must not come
-// back for that.
+// they come from the leader whose targets the view has, or have all changes up to the last
+// that the view has. A new leader may know less than this VM, and a target that this VM has
+// seen leave must not come back for that.
 func (c *Coordinator) acceptsTargets(state *peerv1.FleetState) bool {
-	if state.Known == nil || c.source.knownAt == 0 || c.source.leader == state.Leader.Incarnation {
+	if state.Known == nil || c.source.knownAt == 0 || c.source.leader == state.GetLeader().GetIncarnation() {
 		return true
 	}
-	at, ok := knownAtOf(state)
-	return ok && at >= c.source.knownAt
+	at, ok := c.knownAtOf(state)
+	return ok && at >= c.source.changedAt
 }
 
 // watchIfStale watches the store while what this VM hears from the leader is not recent.
 func (c *Coordinator) watchIfStale(now time.Time, silentFor time.Duration) {
+	if c.isStale(now, silentFor, askBefore) && !now.Before(c.askPeersAt) && !c.observer.Complete() {
+		c.askPeersAt = now.Add(askPause)
+		if c.config.Uptime()-c.source.knownAt > askOftenUntil {
+			c.askPeersAt = now.Add(c.reportInterval())
+		}
+		c.askPeers()
+	}
 	if c.observer.Watching() {
 		if c.observer.Tick(now) {
 			c.publishObserved()
@@ -113,7 +140,7 @@
 		}
 		return
 	}
-	if !c.isStale(now, silentFor) || now.Before(c.watchRetryAt) {
+	if !c.isStale(now, silentFor, 0) || now.Before(c.watchRetryAt) {
 		return
 	}
 	if c.recordUnreadable {
@@ -125,9 +152,6 @@
 		}
 		return
 	}
-	if c.source.knownAt != 0 {
-		c.observer.NoteStoreReached(now.Add(c.source.knownAt - c.config.Uptime()))
-	}
 	c.observer.Seed(c.view)
 	c.observer.StartCautiously(c.ctx)
 }
@@ -142,13 +166,90 @@
 	c.watchRetryAt = now.Add(rand.N(pause))
 }
 
-// isStale reports whether this VM has to watch the store itself.
-func (c *Coordinator) isStale(now time.Time, silentFor time.Duration) bool {
+// isStale reports whether this VM has to watch the store itself in a time from now, unless
+// it hears something recent by then.
+func (c *Coordinator) isStale(now time.Time, silentFor, in time.Duration) bool {
 	spread := time.Duration(float64(xxh3.HashString(c.config.Self.VM)%1000) / 1000 * float64(watchSpread))
 	if c.source.knownAt == 0 || !c.leaderTellsAge {
 		return silentFor > watchStoreAfter+spread && now.Sub(c.startedAt) > watchStoreAfter+spread
 	}
-	return c.config.Uptime()-c.source.knownAt > watchAfter+spread
+	return c.config.Uptime()-c.source.knownAt > watchAfter+spread-in
+}
+
+// askPeers asks some other VMs for the declarations.
+func (c *Coordinator) askPeers() {
+	query := &peerv1.LeaderQuery{SentMillis: uint64(c.config.Uptime().Milliseconds()), Have: c.declarationVersions()}
+	others := c.otherVMs(c.view.Leader)
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, vm := range others[:min(len(others), peersAsked)] {
+		go func() {
+			reply, err := c.call(vm, &peerv1.Control{Kind: &peerv1.Control_LeaderQuery{LeaderQuery: query}})
+			if state := reply.GetLeaderQueryReply().GetDeclarations(); err == nil && state.GetVersions() != nil {
+				c.config.Loop.Post(func() { c.applyDeclarations(state) })
+			}
+		}()
+	}
+}
+
+// declarationVersions returns the versions of the configuration and the targets in the view.
+func (c *Coordinator) declarationVersions() *peerv1.PartVersions {
+	versions := &peerv1.PartVersions{Targets: c.haveVersions.Targets}
+	if c.lead != nil {
+		versions.Targets = c.lead.parts.targets.digest
+	}
+	if c.view.Config != nil {
+		versions.Config = c.view.Config.Version
+	}
+	return versions
+}
+
+// declarationsFor returns the declarations for a VM that asks for them, or nil if this VM
+// knows nothing recent.
+func (c *Coordinator) declarationsFor(query *peerv1.LeaderQuery) *peerv1.FleetState {
+	age := c.config.Uptime() - c.source.knownAt
+	versions := c.declarationVersions()
+	if c.source.knownAt == 0 || age > watchedEnough || versions.Config == 0 || versions.Targets == 0 {
+		return nil
+	}
+	state := &peerv1.FleetState{
+		Term: c.view.Term, Versions: versions,
+		Known: &peerv1.StoreKnowledge{ReportMillis: query.SentMillis, AfterMillis: -age.Milliseconds()},
+	}
+	if query.Have.Config < versions.Config {
+		state.Config = partOf(encodeConfig(c.view.Config))
+	}
+	if query.Have.Targets != versions.Targets {
+		state.Targets = encodePart(diffTargets(targetSet{}, targetSet{c.view.Targets, c.view.Evacuated}, time.Now()))
+	}
+	return state
+}
+
+// applyDeclarations applies the declarations that another VM has sent if they are more recent
+// than those of this VM.
+func (c *Coordinator) applyDeclarations(state *peerv1.FleetState) {
+	c.noteStoreReached(state)
+	at, ok := c.knownAtOf(state)
+	if !ok || c.lead != nil || at <= c.source.knownAt {
+		return
+	}
+	view, changed := *c.view, false
+	if state.Config != nil {
+		c.applyConfig(&view, state)
+		changed = view.Config != c.view.Config
+	}
+	targets := &peerv1.TargetList{}
+	if at >= c.source.changedAt && state.Targets != nil && state.Targets.Base == 0 && c.decodeList(state.Targets, 0, targets) {
+		c.haveVersions.Targets, c.source.leader, c.source.changedAt = state.Versions.Targets, "", c.config.Uptime()
+		view.Targets, view.Evacuated = applyTargets(targets, nil, time.Now())
+		c.observer.Stop()
+		changed = true
+	}
+	if changed {
+		c.publish(&view)
+	}
+	if c.hasDeclarations(state.Versions) {
+		c.source.knownAt = at
+	}
 }
 
 // hearsEnough reports whether the leader's heartbeats make a watch of this VM unnecessary.
@@ -186,13 +287,14 @@
 	c.watchPause = min(2*c.watchPause, watchRetryMax)
 }
 
-// knownAtOf returns the time, in this VM's uptime, up to which the leader knew the store
-// when it sent a heartbeat.
-func knownAtOf(state *peerv1.FleetState) (time.Duration, bool) {
+// knownAtOf returns the time, in this VM's uptime, up to which another VM knew the store when
+// it sent its state.
+func (c *Coordinator) knownAtOf(state *peerv1.FleetState) (time.Duration, bool) {
 	if state.Known.GetReportMillis() == 0 {
 		return 0, false
 	}
-	return time.Duration(int64(state.Known.ReportMillis)+state.Known.AfterMillis) * time.Millisecond, true
+	at := time.Duration(int64(state.Known.ReportMillis)+state.Known.AfterMillis) * time.Millisecond
+	return min(at, c.config.Uptime()), true
 }
 
 // hasDeclarations reports whether this VM has the configuration and the targets of a leader
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -195,7 +195,7 @@
 	c.lead = nil
 	if f := c.freshness.Load(); f != nil {
 		c.freshness.Store(&freshness{heardAt: c.config.Uptime() - heartbeatTimeout, knownAt: f.knownAt, known: f.known})
-		c.source.leader = ""
+		c.source.leader, c.source.changedAt = "", c.config.Uptime()
 	}
 	c.observer.Stop()
 	c.heartbeatAt = time.Now().Add(-heartbeatTimeout)
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -128,7 +128,7 @@
 	}
 	targets, sliceList, members := &peerv1.TargetList{}, &peerv1.SliceList{}, &peerv1.MemberList{}
 	if c.acceptsTargets(state) && c.decodeList(state.Targets, c.haveVersions.Targets, targets) {
-		c.haveVersions.Targets = state.Versions.Targets
+		c.haveVersions.Targets, c.source.changedAt = state.Versions.Targets, c.config.Uptime()
 		// The list is at least as recent as what this VM's own watch has found. If it is not
 		// recent enough, the watch begins again from it.
 		c.observer.Stop()
@@ -267,11 +267,14 @@
 
 // answerLeaderQuery returns this VM's answer to a leader query; on a leader the time
 // since the last heartbeat is 0.
-func (c *Coordinator) answerLeaderQuery() *peerv1.LeaderQueryReply {
+func (c *Coordinator) answerLeaderQuery(query *peerv1.LeaderQuery) *peerv1.LeaderQueryReply {
 	reply := &peerv1.LeaderQueryReply{Term: c.view.Term, HeardMillisAgo: time.Since(c.heartbeatAt).Milliseconds(), Incarnation: c.config.Self.Incarnation}
 	if c.lead != nil {
 		reply.HeardMillisAgo = 0
 	}
+	if query.GetHave() != nil {
+		reply.Declarations = c.declarationsFor(query)
+	}
 	return reply
 }
 
--- a/internal/process/coordinator/propagation_test.go
+++ b/internal/process/coordinator/propagation_test.go
@@ -127,6 +127,41 @@
 	}
 }
 
+// TestChangesReachVMsWithoutTheStore: a third of the VMs do not reach the store when the leader
+// loses it, too, and is killed, as is each VM that takes over soon after. They get a change from
+// other VMs that have read it.
+func TestChangesReachVMsWithoutTheStore(t *testing.T) {
+	const vms = 60
+	for _, c := range []change{drain("t2"), removal("t2"), configuration(2), evacuation("b")} {
+		for after := 10 * time.Millisecond; after < 1300*time.Millisecond; after += 320 * time.Millisecond {
+			t.Run(fmt.Sprintf("%s after %s", c.name, after), func(t *testing.T) {
+				run(t, seed.Value, vms, 6, func(w *world) {
+					w.servedWithin(2 * time.Second)
+					time.Sleep(3 * time.Second)
+					leader, _ := w.leader()
+					w.awaitRecordWrite()
+					w.cutFor(10*time.Second, leader+">store")
+					for i := 0; i < vms; i += 3 {
+						w.cutFor(10*time.Second, fmt.Sprintf("n%d>store", i))
+					}
+					time.AfterFunc(1150*time.Millisecond, func() { w.killLeaders(3 * time.Second) })
+					time.Sleep(after)
+					w.apply(c, w.running)
+				})
+			})
+		}
+	}
+}
+
+// killLeaders kills each VM that leads, for a time.
+func (w *world) killLeaders(during time.Duration) {
+	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if leader, count := w.leader(); count > 0 {
+			w.killNode(leader)
+		}
+	}
+}
+
 // killLeader kills the VM that leads in a running VM's view, if there is one.
 func (w *world) killLeader() {
 	if leader, found := w.leaderInViews(); found {
