--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -113,6 +113,15 @@
 	return l.repeats
 }
 
+// PushQuota sends all VMs a heartbeat with the present use of the teams' quotas, if this VM
+// leads.
+func (c *Coordinator) PushQuota() {
+	if c.lead != nil {
+		c.lead.quotaAt = time.Time{}
+		c.pushAll()
+	}
+}
+
 // currentQuota returns the use of the teams' quotas, at most maxPartAge old.
 func (c *Coordinator) currentQuota(now time.Time) *peerv1.QuotaState {
 	l := c.lead
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -165,6 +165,7 @@
 	g.desk = permits.New(permits.Config{
 		Self: g.self.VM, Broker: broker, Sender: g.transport, View: g.view.Load, Alive: g.brokerAlive,
 		ContactLost: g.pools.ContactLost, Quota: g.settings.Quota,
+		QuotaGrown: func() { g.loop.Post(g.coordinator.PushQuota) },
 	})
 	g.coordinator = coordinator.New(coordinator.Config{
 		Self:       g.self,
--- a/internal/process/permits/desk.go
+++ b/internal/process/permits/desk.go
@@ -61,6 +61,9 @@
 	ContactLost func(fleet.Life) time.Time
 	// Quota is the rule for teams that have a limit.
 	Quota quota.Rule
+	// QuotaGrown, if set, is called on the broker if the VMs should hear of QuotaState before
+	// the next heartbeat. It is called without locks of the desk.
+	QuotaGrown func()
 }
 
 // Desk obtains and grants permits on one VM: it is the broker of the services that
@@ -407,6 +410,9 @@
 		d.scheduleTick()
 	})
 	d.flush()
+	if d.config.QuotaGrown != nil && r.Team != "" && d.quotaGrown(now) {
+		d.config.QuotaGrown()
+	}
 }
 
 // locked runs a function under mu, which is released even if the function panics.
--- a/internal/process/permits/quotas.go
+++ b/internal/process/permits/quotas.go
@@ -14,6 +14,9 @@
 // ownReportInterval is how often the ledger takes over the counts of its own VM.
 const ownReportInterval = 100 * time.Millisecond
 
+// grownInterval is the shortest interval at which VMs are told of the growth of teams.
+const grownInterval = 100 * time.Millisecond
+
 // quotas counts the requests of teams that have a limit. Its methods are called under the
 // lock of the desk. Without such teams it holds nothing.
 type quotas struct {
@@ -25,6 +28,8 @@
 	ledger *quota.Ledger[admission.ID]
 	// reportedAt is when the ledger last took over the counts of this VM.
 	reportedAt time.Time
+	// grownAt is when all VMs were last told before a heartbeat was due.
+	grownAt time.Time
 }
 
 // limit returns the limit of a team; false if it has none.
@@ -141,6 +146,18 @@
 	})
 }
 
+// quotaGrown reports whether all VMs should hear of the quotas now; at most each
+// grownInterval.
+func (d *Desk) quotaGrown(now time.Time) (grown bool) {
+	d.locked(func() {
+		q := &d.quotas
+		if q.ledger != nil && now.Sub(q.grownAt) >= grownInterval && q.ledger.Grown() {
+			q.grownAt, grown = now, true
+		}
+	})
+	return grown
+}
+
 // QuotaState returns what this VM's broker tells all VMs of the teams' quotas; nil if no
 // team has a limit.
 func (d *Desk) QuotaState(now time.Time) (message *peerv1.QuotaState) {
--- a/internal/request/quota/ledger.go
+++ b/internal/request/quota/ledger.go
@@ -25,6 +25,9 @@
 	// limit from which a team is listed.
 	maxListed   = 128
 	listedFloor = 0.5
+	// grownShare is the share of its limit by which a listed team has to grow for all VMs to
+	// be told before the next heartbeat.
+	grownShare = 0.2
 )
 
 // Ledger counts the requests of all VMs, on the VM whose broker permits them. It is not
@@ -40,6 +43,8 @@
 	// it knew and that this broker does not.
 	former    State
 	formerVMs int
+	// grown is set if a team has grown by grownShare since all VMs were told.
+	grown bool
 }
 
 // vmState is what a ledger knows of a VM. reported is set once the VM has reported to it.
@@ -129,10 +134,24 @@
 		return a.retryAfter(allowed, now), false
 	}
 	a.reserved++
+	l.grown = l.grown || a.used() > max(a.told+grownShare*l.rule.limit(limit), listedFloor*l.rule.limit(limit))
 	l.places[id] = &place{account: a, limit: limit, vm: vm}
 	return 0, true
 }
 
+// Grown reports whether a team has used so much since all VMs were told that they should be
+// told before the next heartbeat. If so, it counts as told.
+func (l *Ledger[ID]) Grown() bool {
+	if !l.grown {
+		return false
+	}
+	l.grown = false
+	for _, a := range l.accounts {
+		a.told = a.used()
+	}
+	return true
+}
+
 // Decided records the decision on a request that has a place.
 func (l *Ledger[ID]) Decided(id ID, permitted bool, at time.Time) {
 	p := l.places[id]
@@ -288,6 +307,7 @@
 		}
 		a := l.account(team, limit, now)
 		share := a.used() / l.rule.limit(limit)
+		a.told = min(a.told, a.used())
 		switch {
 		case share <= listedFloor:
 		case len(state.Used) < maxListed:
--- a/internal/request/quota/quota.go
+++ b/internal/request/quota/quota.go
@@ -98,6 +98,9 @@
 	covered    float64
 	externalAt time.Duration
 
+	// told is the number of requests that all VMs have been told of at least, in the ledger.
+	told float64
+
 	// foreign counts the requests without a permit of the present broker, in a share;
 	// atHeartbeat is the number in the window at the last heartbeat.
 	foreign     window
