--- a/internal/process/permits/reported.go
+++ b/internal/process/permits/reported.go
@@ -124,6 +124,14 @@
 	return true, s.answeredSentAt.After(sentAt)
 }
 
+// dropped reports whether a target has probably dropped a request that was sent at a time.
+func (r *reported) dropped(t *fleet.Target, sentAt time.Time, patience time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.states[t.Life]
+	return r.silent[t.Service] && s != nil && s.answeredSentAt.After(sentAt.Add(patience))
+}
+
 // hangs reports whether targets of a service drop what they cannot queue.
 func (r *reported) hangs(service string) bool {
 	r.mu.Lock()
@@ -177,6 +185,13 @@
 // Hangs reports whether targets of a service are known not to answer what they cannot queue.
 func (d *Desk) Hangs(service string) bool { return d.reported.hangs(service) }
 
+// Dropped reports whether a target has probably dropped a request that was sent at a time:
+// targets of its service are known to drop what they cannot queue, and this one has answered a
+// request that was sent more than patience later.
+func (d *Desk) Dropped(target *fleet.Target, sentAt time.Time, patience time.Duration) bool {
+	return d.reported.dropped(target, sentAt, patience)
+}
+
 // MaySend reports whether requests may be sent to a target, by what it has said of itself. It
 // is to be asked right before a request is sent.
 func (d *Desk) MaySend(target fleet.Life) bool {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -89,8 +89,10 @@
 	// Unanswered records that a target has not answered a request, and reports whether it
 	// probably dropped it because it was full. It then gets no requests for backoff.
 	Unanswered(target *fleet.Target, sentAt time.Time, backoff time.Duration) bool
-	// Hangs reports whether targets of a service are known to drop requests in that way.
-	Hangs(service string) bool
+	// Dropped reports whether a target has probably dropped a request that was sent at a time:
+	// targets of its service are known to drop what they cannot queue, and this one has
+	// answered a request that was sent more than patience later.
+	Dropped(target *fleet.Target, sentAt time.Time, patience time.Duration) bool
 }
 
 // Config configures a Handler.
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -137,8 +137,10 @@
 	return f.desk != nil && f.desk.Unanswered(target, sentAt, backoff)
 }
 
-// Hangs implements forward.Permits.
-func (f *fixture) Hangs(service string) bool { return f.desk != nil && f.desk.Hangs(service) }
+// Dropped implements forward.Permits.
+func (f *fixture) Dropped(target *fleet.Target, sentAt time.Time, patience time.Duration) bool {
+	return f.desk != nil && f.desk.Dropped(target, sentAt, patience)
+}
 
 // awaitPermitRequest waits for a request for a permit and returns its time, from which
 // the deadline is counted.
--- a/internal/request/forward/restriction.go
+++ b/internal/request/forward/restriction.go
@@ -26,26 +26,27 @@
 	}
 }
 
-// maxAims is how many times the aim a response may take before it counts as one that will
-// never arrive, if targets of the service are known to leave requests unanswered.
+// maxAims is how many times the aim a response may take before it may count as one that will
+// never arrive.
 const maxAims = 2
 
-// limitWait gives up an attempt that began at a time when its response is so late that it will
-// probably never arrive, while there is time for another attempt to answer within the length
-// of the aim. It does so only for services whose targets are known to leave requests
-// unanswered, and if another attempt is allowed. The result ends the limit.
+// limitWait gives up an attempt that began at a time when its response will probably never
+// arrive (see Permits.Dropped), while there is time for another attempt to answer within the
+// length of the aim. It does nothing for the owner of a key, which has no substitute, and while
+// this VM stops: the target may be at work, and callers must get its response. The result ends
+// the limit.
 func (x *exchange) limitWait(t *fleet.Target, began time.Time, another bool, giveUp context.CancelCauseFunc) (stop func()) {
 	aim := x.route.Aim
 	due := began.Add(maxAims * aim)
 	if latest := x.deadline.Add(-aim); latest.Before(due) {
 		due = latest
 	}
-	if !another || x.attempts+1 >= x.route.MaxAttempts || due.Before(began.Add(aim)) || !x.handler.config.Permits.Hangs(t.Service) {
+	if !another || x.service.Keyed || x.attempts+1 >= x.route.MaxAttempts || due.Before(began.Add(aim)) {
 		return func() {}
 	}
 	timer := time.AfterFunc(time.Until(due), func() {
 		// No response is due before the body is sent.
-		if x.body.read() {
+		if x.handler.config.StopBy().IsZero() && x.body.read() && x.handler.config.Permits.Dropped(t, began, aim) {
 			giveUp(context.DeadlineExceeded)
 		}
 	})
--- a/internal/request/forward/restriction_test.go
+++ b/internal/request/forward/restriction_test.go
@@ -136,23 +136,35 @@
 	assert.Equal(t, answer.status, http.StatusGatewayTimeout, "the target may have ended: nothing shows that it hangs")
 	assert.Assert(t, !f.desk.Hangs("s"))
 
-	var group sync.WaitGroup
-	group.Go(func() {
-		answer, _ := send("/safe/", "hangs2")
-		assert.Check(t, answer.status == http.StatusGatewayTimeout, "%d", answer.status)
-	})
-	time.Sleep(aim + 50*time.Millisecond)
-	for i := range 30 {
-		group.Go(func() { f.send(t, "POST", "/safe/", fmt.Sprint("a", i), "body") })
+	// overtaken sends a request that hangs, and others that are answered an aim later.
+	overtaken := func(attempt string) (answer callerResponse, took time.Duration) {
+		time.Sleep(2 * aim)
+		var group sync.WaitGroup
+		group.Go(func() { answer, took = send("/safe/", attempt) })
+		time.Sleep(aim + 50*time.Millisecond)
+		for i := range 30 {
+			group.Go(func() { f.send(t, "POST", "/safe/", fmt.Sprint(attempt, "-a", i)[len("hangs"):], "body") })
+		}
+		group.Wait()
+		return answer, took
 	}
-	group.Wait()
+	answer, _ = overtaken("hangs2")
+	assert.Equal(t, answer.status, http.StatusGatewayTimeout)
 	assert.Assert(t, f.desk.Hangs("s"), "the target has answered later requests")
 
-	time.Sleep(2 * aim)
-	answer, took := send("/safe/", "hangs3")
+	answer, took := overtaken("hangs3")
 	assert.Equal(t, answer.status, 200)
 	assert.Assert(t, took >= 2*aim && took < deadline, "%s", took)
 	time.Sleep(2 * aim)
+	answer, took = send("/safe/", "hangs5")
+	assert.Equal(t, answer.status, http.StatusGatewayTimeout, "the target may be slow: it has answered no later request")
+	assert.Assert(t, took > deadline-aim, "given up after %s", took)
+	f.stopBy = time.Now().Add(time.Minute)
+	answer, took = overtaken("hangs6")
+	assert.Equal(t, answer.status, http.StatusGatewayTimeout, "a stopping VM waits for targets that may be at work")
+	assert.Assert(t, took > deadline-aim, "given up after %s", took)
+	f.stopBy = time.Time{}
+	time.Sleep(2 * aim)
 	answer, took = send("/once/", "hangs4")
 	assert.Equal(t, answer.status, http.StatusGatewayTimeout)
 	assert.Assert(t, took > deadline-aim, "given up after %s", took)
