Take no answer for complete whose reset a write has noticed

Cause: an answer without a length ends with its connection, and the kernel reports a reset only once. If the write of the request gets the report, the next read returns the end of the connection, as after an orderly close.

Change: at the end of such an answer the exchange ends a write in progress, waits for it, and takes the answer for incomplete if a write has failed otherwise. Each write holds the socket's lock until its error is recorded, so the reader sees the error that the kernel has reported. An orderly end before the upload has been read stays a complete answer (TestEarlyAnswerWithoutALengthIsWhole).

--- a/internal/connection/target/connection.go
+++ b/internal/connection/target/connection.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -65,12 +66,15 @@
 type countingSocket struct {
 	net.Conn
 	accepted int64
-	// writeErr is the last error of a write to the socket.
+	// mu is held during a write; writeErr is the last error of one.
+	mu       sync.Mutex
 	writeErr error
 }
 
 // Write passes p to the kernel and counts the bytes that it accepted.
 func (s *countingSocket) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	n, err := s.Conn.Write(p)
 	s.accepted += int64(n)
 	if err != nil {
@@ -79,6 +83,17 @@
 	return n, err
 }
 
+// cutOff reports whether the connection has failed for writing, and ends a write that is in
+// progress. A read that finds the end of the connection does not tell an orderly close from a
+// reset that a write has noticed before it: the kernel reports a reset only once.
+func (s *countingSocket) cutOff() bool {
+	// This fails only on a socket that is already closed.
+	_ = s.SetWriteDeadline(time.Now())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writeErr != nil && !errors.Is(s.writeErr, os.ErrDeadlineExceeded)
+}
+
 // reset closes the socket and discards the data that the kernel has not delivered
 // yet. After an orderly close the kernel would keep retransmitting it, so that an
 // abandoned request could reach the target seconds later, once a network partition
--- a/internal/connection/target/cut_test.go
+++ b/internal/connection/target/cut_test.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -115,3 +117,82 @@
 		assert.Equal(t, len(connections), 2)
 	}
 }
+
+// TestResetNoticedByTheWriterCutsTheAnswer checks that an answer without a length is not
+// accepted as complete if the target resets the connection while the request is still being
+// written. The kernel reports the reset once: if the write gets it, the next read finds the
+// end of the connection as after an orderly close.
+func TestResetNoticedByTheWriterCutsTheAnswer(t *testing.T) {
+	for name, version := range map[string]string{"HTTP/1.1": "HTTP/1.1", "HTTP/1.0": "HTTP/1.0"} {
+		t.Run(name, func(t *testing.T) {
+			reset := make(chan struct{})
+			pool := strayPool(t, func(socket *net.TCPConn) {
+				_, _ = http.ReadRequest(bufio.NewReader(socket))
+				_, _ = io.WriteString(socket, strings.Replace(answerHead("a", "\r\n"), "HTTP/1.1", version, 1)+"half")
+				<-reset
+				_ = socket.SetLinger(0)
+			})
+			exchange, err := pool.Reserve(testContext(t))
+			assert.NilError(t, err)
+			upload := newEndlessUpload()
+			request := newRequest("a", "", "")
+			request.ContentLength, request.Body = -1, upload
+			answer, err := exchange.Do(testContext(t), request, true)
+			assert.NilError(t, err)
+			close(reset)
+			<-upload.closed
+			body, err := io.ReadAll(answer.Body)
+			assert.Assert(t, err != nil, "the answer %q looks complete", body)
+			assert.Equal(t, pool.Open(), 0)
+		})
+	}
+}
+
+// TestEarlyAnswerWithoutALengthIsWhole checks that an answer without a length is complete if
+// the target ends it in order before it has read the request's body, whatever the write does.
+func TestEarlyAnswerWithoutALengthIsWhole(t *testing.T) {
+	for name, waits := range map[string]bool{"the write waits for the target": true, "the write waits for the body": false} {
+		t.Run(name, func(t *testing.T) {
+			pool := strayPool(t, func(socket *net.TCPConn) {
+				in := bufio.NewReader(socket)
+				_, _ = http.ReadRequest(in)
+				_, _ = io.WriteString(socket, answerHead("a", "\r\n")+"whole")
+				_ = socket.CloseWrite()
+				time.Sleep(50 * time.Millisecond)
+				_, _ = io.Copy(io.Discard, in)
+			})
+			exchange, err := pool.Reserve(testContext(t))
+			assert.NilError(t, err)
+			request := newRequest("a", "", "")
+			request.ContentLength, request.Body = -1, newEndlessUpload()
+			if !waits {
+				silent, end := io.Pipe()
+				t.Cleanup(func() { _ = end.Close() })
+				request.Body = silent
+			}
+			ctx := testContext(t)
+			answer, err := exchange.Do(ctx, request, true)
+			assert.NilError(t, err)
+			body, err := io.ReadAll(answer.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), "whole")
+			assert.NilError(t, ctx.Err(), "the exchange lasted until its deadline")
+		})
+	}
+}
+
+// endlessUpload is a request's body without end. closed is closed with it, when the request
+// has been written or its write has failed.
+type endlessUpload struct {
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newEndlessUpload() *endlessUpload { return &endlessUpload{closed: make(chan struct{})} }
+
+func (u *endlessUpload) Read(p []byte) (int, error) { return len(p), nil }
+
+func (u *endlessUpload) Close() error {
+	u.once.Do(func() { close(u.closed) })
+	return nil
+}
--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -77,6 +77,7 @@
 	errUnframedAnswer   = errors.New("answer has neither a length nor chunked encoding")
 	errMismatchedAnswer = errors.New("answer is for another request")
 	errUnexpectedSwitch = errors.New("target switched protocols")
+	errResetAnswer      = errors.New("the connection was reset in an answer without a length")
 )
 
 // Do sends the request and returns the answer as soon as its head has been read.
@@ -221,6 +222,9 @@
 // Read implements io.Reader. It returns io.EOF only at the end of a complete body.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.response.Body.Read(p)
+	if err == io.EOF && !isFramed(b.response, b.run.method) && b.run.connection.socket.cutOff() {
+		err = errResetAnswer
+	}
 	switch {
 	case err == nil:
 		return n, nil
--- a/internal/connection/target/fuzz_test.go
+++ b/internal/connection/target/fuzz_test.go
@@ -22,9 +22,10 @@
 	text io.Reader
 }
 
-func (s *scriptedConn) Read(p []byte) (int, error)  { return s.text.Read(p) }
-func (s *scriptedConn) Write(p []byte) (int, error) { return len(p), nil }
-func (s *scriptedConn) Close() error                { return nil }
+func (s *scriptedConn) Read(p []byte) (int, error)       { return s.text.Read(p) }
+func (s *scriptedConn) Write(p []byte) (int, error)      { return len(p), nil }
+func (s *scriptedConn) Close() error                     { return nil }
+func (s *scriptedConn) SetWriteDeadline(time.Time) error { return nil }
 
 // exchangeWith sends a request to a target that answers with text, and returns the answer
 // that the exchange read.
