--- a/internal/process/store/memory.go
+++ b/internal/process/store/memory.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -29,6 +31,16 @@
 	return &Memory{objects: map[string]Object{}, changed: make(chan struct{})}
 }
 
+// Copy returns a copy of the store, with its revision and history. Changes of one do not
+// affect the other.
+func (m *Memory) Copy() *Memory {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &Memory{
+		revision: m.revision, objects: maps.Clone(m.objects), history: slices.Clone(m.history), changed: make(chan struct{}),
+	}
+}
+
 // Calls returns the number of calls so far.
 func (m *Memory) Calls() Calls {
 	m.mu.Lock()
--- a/internal/testutil/platformstub/platformstub.go
+++ b/internal/testutil/platformstub/platformstub.go
@@ -7,7 +7,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -79,6 +81,10 @@
 	changed chan struct{}
 	faults  Faults
 	calls   map[string]int
+	// era numbers the copies from which the store has been restored. answering is held, shared,
+	// from an operation to its answer, so that no restore comes between them.
+	era       int
+	answering sync.RWMutex
 }
 
 // New returns an empty store.
@@ -88,6 +94,52 @@
 	}
 }
 
+// Copy is the state of a store at one moment.
+type Copy struct {
+	revision int64
+	objects  map[string]map[string]Object
+	events   []event
+}
+
+// Copy returns a copy of the store's state.
+func (s *Stub) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{revision: s.revision, objects: map[string]map[string]Object{}, events: slices.Clone(s.events)}
+	for kind, objects := range s.objects {
+		c.objects[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// Restore replaces the state of the store by a copy. Revisions since are given out again, and
+// another era begins. Watches that wait are not told.
+func (s *Stub) Restore(c Copy) {
+	s.answering.Lock()
+	defer s.answering.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.events, s.dropped = c.revision, slices.Clone(c.events), 0
+	s.objects = map[string]map[string]Object{}
+	for kind, objects := range c.objects {
+		s.objects[kind] = maps.Clone(objects)
+	}
+	s.era++
+}
+
+// eraHeader sets the header that names the store's era when the answer is written.
+type eraHeader struct {
+	http.ResponseWriter
+	stub *Stub
+}
+
+func (w eraHeader) WriteHeader(status int) {
+	w.stub.mu.Lock()
+	w.Header().Set("Store-Era", fmt.Sprintf("era-%d", w.stub.era))
+	w.stub.mu.Unlock()
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // SetFaults replaces the faults in force.
 func (s *Stub) SetFaults(f Faults) {
 	s.mu.Lock()
@@ -190,10 +242,17 @@
 	s.calls[r.Method]++
 	f := s.faults
 	s.mu.Unlock()
+	w = eraHeader{w, s}
 	if !s.misbehave(w, r, f) {
 		return
 	}
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	if r.Method == http.MethodGet && r.URL.Query().Has("watch") {
+		s.watch(w, r, kind)
+		return
+	}
+	s.answering.RLock()
+	defer s.answering.RUnlock()
 	if r.Method == http.MethodGet {
 		s.read(w, r, kind, name)
 		return
@@ -218,24 +277,19 @@
 }
 
 func (s *Stub) read(w http.ResponseWriter, r *http.Request, kind, name string) {
-	query := r.URL.Query()
-	switch {
-	case query.Has("watch"):
-		s.watch(w, r, kind)
-	case name != "":
-		if o, ok := s.Get(kind, name); ok {
-			answer(w, http.StatusOK, o)
-			return
-		}
-		w.WriteHeader(http.StatusNotFound)
-	default:
-		s.list(w, kind, query.Get("after"))
+	if name == "" {
+		s.list(w, kind, r.URL.Query().Get("after"))
+		return
+	}
+	if o, ok := s.Get(kind, name); ok {
+		answer(w, http.StatusOK, o)
+		return
 	}
+	w.WriteHeader(http.StatusNotFound)
 }
 
 func (s *Stub) list(w http.ResponseWriter, kind, after string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	names := []string{}
 	for name := range s.objects[kind] {
 		if name > after {
@@ -251,7 +305,9 @@
 	for _, name := range names {
 		items = append(items, s.objects[kind][name].text())
 	}
-	answerPage(w, "items", items, fmt.Sprintf(`"hasMore":%t,"at":%d`, more, s.revision))
+	revision := s.revision
+	s.mu.Unlock()
+	answerPage(w, "items", items, fmt.Sprintf(`"hasMore":%t,"at":%d`, more, revision))
 }
 
 // watch answers as soon as there is an event, or once the time is over.
@@ -265,17 +321,8 @@
 	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
 	defer timer.Stop()
 	for over := false; ; {
-		found, at, gone, changed := s.eventsAfter(kind, from)
-		if gone {
-			w.WriteHeader(http.StatusGone)
-			return
-		}
-		if len(found) > 0 || over {
-			texts := []string{}
-			for _, e := range found {
-				texts = append(texts, fmt.Sprintf(`{"object":%s,"deleted":%t}`, e.Object.text(), e.Deleted))
-			}
-			answerPage(w, "events", texts, fmt.Sprintf(`"at":%d`, at))
+		answered, changed := s.answerWatch(w, kind, from, over)
+		if answered {
 			return
 		}
 		select {
@@ -288,6 +335,26 @@
 	}
 }
 
+// answerWatch answers a watch if there is an event, or its time is over.
+func (s *Stub) answerWatch(w http.ResponseWriter, kind string, from int64, over bool) (answered bool, changed chan struct{}) {
+	s.answering.RLock()
+	defer s.answering.RUnlock()
+	found, at, gone, changed := s.eventsAfter(kind, from)
+	if gone {
+		w.WriteHeader(http.StatusGone)
+		return true, nil
+	}
+	if len(found) == 0 && !over {
+		return false, changed
+	}
+	texts := []string{}
+	for _, e := range found {
+		texts = append(texts, fmt.Sprintf(`{"object":%s,"deleted":%t}`, e.Object.text(), e.Deleted))
+	}
+	answerPage(w, "events", texts, fmt.Sprintf(`"at":%d`, at))
+	return true, nil
+}
+
 func (s *Stub) eventsAfter(kind string, from int64) (found []event, at int64, gone bool, changed chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -362,6 +429,7 @@
 
 func answerPage(w http.ResponseWriter, field string, items []string, rest string) {
 	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusOK)
 	// A caller that has left needs no answer.
 	_, _ = fmt.Fprintf(w, `{"%s":[%s],%s}`, field, strings.Join(items, ","), rest)
 }
