Let a store that comes back from a copy undo nothing

What callers would see: after the store has been restored from a copy some seconds old, keys with two owners, or with none for seconds, requests at servers that have drained, former configurations and evacuations (OWNER, DRAIN, CONFIG, EVAC). Found by reading.

Cause: the record goes back, with its moves, terms and reserved fences, a copy without a record counted as proof that no leader had acted, and lists of the copy replaced what VMs knew.

Change: the record names the era in which it was written. The first write in an era is a recovery: terms and fences beyond lost ones, and no fence that has not been sent until no former leader can have a grant in force. A leader that most VMs follow makes it and renews its grants all the while.

--- a/cmd/chestnutcoursed/platform.go
+++ b/cmd/chestnutcoursed/platform.go
@@ -103,7 +103,7 @@
 			ColdFactor: s.Bounds.ColdFactor, Loads: loads,
 		},
 		Quota:       quota.Rule{Window: s.Bounds.QuotaWindow, Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack},
-		LongestHold: s.Bounds.LongestGrant, StopWithin: s.Bounds.StopTimeout,
+		LongestHold: s.Bounds.LongestGrant, StopWithin: s.Bounds.StopTimeout, StartedBefore: s.StartedBefore,
 	}
 }
 
@@ -113,8 +113,9 @@
 	logInvalid := func(kind string, err error) {
 		events.DeclarationInvalid.Log(logger).Str("kind", kind).Err(err).Send()
 	}
+	objects := platform.NewStore(s.StoreAddress, logInvalid)
 	return gateway.Platform{
-		Store: platform.NewStore(s.StoreAddress, logInvalid), RecordName: platform.RecordName,
+		Store: objects, Eras: objects.Eras(), RecordName: platform.RecordName,
 		Names: observer.Names{
 			Config: platform.ConfigPrefix, Targets: platform.TargetsPrefix, Evacuations: platform.EvacuationsPrefix,
 			DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget, DecodeEvacuation: platform.DecodeEvacuation,
--- a/internal/process/coordinator/coordinator.go
+++ b/internal/process/coordinator/coordinator.go
@@ -54,10 +54,15 @@
 	// Names are the store prefixes and the decoders of the declarations.
 	Names observer.Names
 	// Loop runs everything that uses the coordinator's state.
-	Loop    *loop.Loop
-	Store   store.Store
+	Loop  *loop.Loop
+	Store store.Store
+	// Eras are the eras of Store; nil if it is never restored from a copy.
+	Eras    *store.Eras
 	Sender  peer.ControlSender
 	Targets Targets
+	// StartedBefore is set unless the deployment starts for the first time: then there has
+	// been a record.
+	StartedBefore bool
 	// LongestHold is the longest duration of a grant that targets accept.
 	LongestHold time.Duration
 	// LinkRate is the bandwidth of the VM's link in bytes per second; 0 if unknown.
@@ -154,6 +159,8 @@
 	// leaderWrite is the number of the leader's last write of the record, as of its
 	// last heartbeat.
 	leaderWrite uint64
+	// lastFence is the highest LastFence of a record that this VM has heard of.
+	lastFence uint64
 	// recordRevision is the record's revision when it was last read, recordRevisionSince
 	// when it was first read at that revision.
 	recordRevision      int64
@@ -178,7 +185,7 @@
 	c.observer = observer.New(observer.Config{
 		Names: config.Names, Store: config.Store, Loop: config.Loop, Logger: config.Logger,
 		Changed: c.declarationsChanged, Contact: c.noteStoreAnswer,
-		Uptime: config.Uptime,
+		Uptime: config.Uptime, Eras: config.Eras,
 	})
 	return c
 }
@@ -255,7 +262,7 @@
 		if digest := digestTargets(view.Targets, view.Evacuated); digest != c.haveVersions.Targets {
 			c.haveVersions.Targets, c.source.changedAt = digest, c.config.Uptime()
 		}
-		c.source.leader = ""
+		c.source.leader, c.source.era = "", c.observer.Era()
 		c.noteObserved()
 	}
 	c.publish(&view)
--- a/internal/process/coordinator/coordinator_test.go
+++ b/internal/process/coordinator/coordinator_test.go
@@ -923,6 +923,7 @@
 	w.withLock(func() {
 		clear(w.cut)
 		clear(w.refused)
+		clear(w.lagging)
 		w.outage, w.loseAnswers, w.lateOrders = false, 0, 0
 	})
 	for i := range 4 {
--- a/internal/process/coordinator/election.go
+++ b/internal/process/coordinator/election.go
@@ -62,10 +62,14 @@
 	// storeReturned is set if the leader yields only because it lost the store, and this
 	// VM has itself regained the store within storeReturnGrace.
 	storeReturned bool
+	// pastEra is set if the store has been restored since the record was written.
+	pastEra bool
 	// known counts the other VMs; asked, those that were queried; answered, those of them
 	// that answered; withoutLeader, those of them that receive no heartbeats of the leader
 	// either. refused counts the queried VMs whose port refused the connection.
 	known, asked, answered, withoutLeader, refused int
+	// lastFence is the highest LastFence of a record that those that answered have heard of.
+	lastFence uint64
 	// silentFor is the time since the leader's last heartbeat.
 	silentFor time.Duration
 	// recordWritten is set if the leader has written the record since its last heartbeat.
--- a/internal/process/coordinator/keys.go
+++ b/internal/process/coordinator/keys.go
@@ -65,7 +65,7 @@
 		c.publishSlices()
 	}
 	c.recheckUnreachable(now)
-	if !l.writing && !now.Before(l.planAt) {
+	if !l.writing && !now.Before(l.planAt) && !l.leaseTable.recovering {
 		c.planMoves(now)
 	}
 	c.sendDueOrders(now)
--- a/internal/process/coordinator/knowledge.go
+++ b/internal/process/coordinator/knowledge.go
@@ -80,6 +80,8 @@
 	// knownAt is the uptime up to which the view has all changes; zero if unknown. It may have
 	// later ones, but none that were made after changedAt, when the targets last changed.
 	knownAt, changedAt time.Duration
+	// era is the era of the store that the targets are of; empty if unknown.
+	era string
 }
 
 // noteKnowledge records how recent the leader's knowledge is that this VM has after a
@@ -92,7 +94,7 @@
 	c.leaderTellsAge = state.Known != nil
 	c.noteStoreReached(state)
 	if c.hasDeclarations(state.Versions) {
-		c.source.leader = state.Leader.Incarnation
+		c.source.leader, c.source.era = state.Leader.Incarnation, state.StoreEra
 		if at, ok := c.knownAtOf(state); ok {
 			c.source.knownAt = max(c.source.knownAt, at)
 			f.knownAt, f.known = max(f.knownAt, at), true
@@ -152,7 +154,7 @@
 		}
 		return
 	}
-	c.observer.Seed(c.view)
+	c.observer.Seed(c.view, c.source.era)
 	c.observer.StartCautiously(c.ctx)
 }
 
@@ -212,7 +214,7 @@
 		return nil
 	}
 	state := &peerv1.FleetState{
-		Term: c.view.Term, Versions: versions,
+		Term: c.view.Term, Versions: versions, StoreEra: c.source.era,
 		Known: &peerv1.StoreKnowledge{ReportMillis: query.SentMillis, AfterMillis: -age.Milliseconds()},
 	}
 	if query.Have.Config < versions.Config {
@@ -240,6 +242,7 @@
 	targets := &peerv1.TargetList{}
 	if at >= c.source.changedAt && state.Targets != nil && state.Targets.Base == 0 && c.decodeList(state.Targets, 0, targets) {
 		c.haveVersions.Targets, c.source.leader, c.source.changedAt = state.Versions.Targets, "", c.config.Uptime()
+		c.source.era = state.StoreEra
 		view.Targets, view.Evacuated = applyTargets(targets, nil, time.Now())
 		c.observer.Stop()
 		changed = true
@@ -271,7 +274,7 @@
 // noteObserved records how recent the view is that this VM's own watches have filled.
 func (c *Coordinator) noteObserved() {
 	if at, ok := c.observer.KnownAt(); ok {
-		c.source.knownAt = max(c.source.knownAt, at)
+		c.source.knownAt, c.source.era = max(c.source.knownAt, at), c.observer.Era()
 	}
 }
 
--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -6,6 +6,7 @@
 
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/store"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
@@ -115,13 +116,21 @@
 
 // takeOver writes this VM into the record as the leader of the next term, and starts
 // to lead if the write succeeds. formerEnded is set if the former leader's process is
-// known to have ended.
-func (c *Coordinator) takeOver(former *fleet.Record, revision int64, reason string, formerEnded bool) {
+// known to have ended; pastEra if the store has been restored since the record was written.
+func (c *Coordinator) takeOver(former *fleet.Record, revision int64, reason string, formerEnded, pastEra bool) {
 	record := *former
 	record.Term++
 	record.Leader = c.config.Self
 	record.Write = 1
+	record.Era = c.config.Eras.Name(revision)
 	reserved := fencesAfter(former)
+	if pastEra {
+		record.Term = max(former.Term, c.view.Term) + termJump
+		record.Slices = c.recoveredSlices(former.Slices)
+		reserved = recoveredFences(max(former.LastFence, c.lastFence), record.Slices)
+		record.Recovering = true
+	}
+	formerEnded = formerEnded && !record.Recovering
 	record.LastFence = reserved.last
 	c.checking = true
 	began := c.config.Uptime()
@@ -134,6 +143,11 @@
 				events.TakeoverFailed.Log(c.config.Logger).Uint64("term", record.Term).Str("reason", reason).Err(err).Send()
 				return
 			}
+			if c.config.Eras.Name(version) != record.Era {
+				events.TakeoverFailed.Log(c.config.Logger).Uint64("term", record.Term).Str("reason", reason).Err(store.ErrRestored).Send()
+				return
+			}
+			c.lastFence = max(c.lastFence, record.LastFence)
 			c.lead = newLeadership(record, version, reserved, formerEnded, c.view, c.leaseDuration(), time.Now())
 			c.lead.orderContext, c.lead.cancelOrders = context.WithCancel(c.ctx)
 			c.lead.storeConfirmedAt, c.lead.tickedAt = began, c.config.Uptime()
@@ -151,6 +165,7 @@
 		members: map[string]*member{}, parts: newParts(), reachChecks: map[fleet.Life]bool{}, speeds: steadySpeeds{},
 		leadingSince: now, storeAnsweredAt: now, renewRecordAt: now.Add(recordRenewEvery),
 	}
+	l.leaseTable.recovering = record.Recovering
 	if formerEnded {
 		l.soleLeader = true
 		l.leaseTable.formerLeaderEnded = true
@@ -171,7 +186,7 @@
 	events.LeadershipTaken.Log(c.config.Logger).Uint64("term", l.record.Term).Int64("revision", l.revision).
 		Str("reason", reason).Str("leader_before", former.Leader.VM).Int("members", len(l.members)).Send()
 	if !c.observer.Watching() {
-		c.observer.Seed(c.view)
+		c.observer.Seed(c.view, c.source.era)
 		c.observer.Start(c.ctx)
 	}
 	// The follower's lists become the base of the diffs that this leader sends.
@@ -220,6 +235,7 @@
 	c.noteLeaderKnowledge()
 	l.outranked = l.isOutranked(now)
 	c.detectSoleLeader(now)
+	c.endRecovery(now)
 	c.renewRecord(now)
 	if l.declarationsChanged {
 		l.declarationsChanged = false
--- a/internal/process/coordinator/leasetable.go
+++ b/internal/process/coordinator/leasetable.go
@@ -55,6 +55,9 @@
 	// formerLeaderEnded is set if the former leader's process is known to have ended, so
 	// that it sends nothing more.
 	formerLeaderEnded bool
+	// recovering is set while no fence may be granted that has not been sent yet, because
+	// the store has been restored (restored.go).
+	recovering bool
 	// handovers are the texts that former owners returned with their releases, by
 	// the slice's fence. Each is passed to the new owner with its grant.
 	handovers map[uint64]string
@@ -393,6 +396,9 @@
 			return tasks
 		}
 		t.fenceSent = lt.sentFences[t.fence]
+		if !t.fenceSent && lt.recovering {
+			return tasks
+		}
 		if !t.fenceSent && confirmedUptime < lt.minConfirmedUptime[t.fence] {
 			return tasks
 		}
--- a/internal/process/coordinator/member.go
+++ b/internal/process/coordinator/member.go
@@ -13,6 +13,7 @@
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/store"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
@@ -60,7 +61,7 @@
 	report := &peerv1.MemberReport{
 		Term: c.view.Term, Address: c.config.Self.Address, ProcessorMillis: c.config.Self.Processor,
 		FailureDomain: c.config.Self.FailureDomain, Have: proto.Clone(c.haveVersions).(*peerv1.PartVersions), HeardMillis: c.leaderUptimeMillis,
-		SentMillis: uint64(c.config.Uptime().Milliseconds()),
+		SentMillis: uint64(c.config.Uptime().Milliseconds()), LastFence: c.lastFence,
 	}
 	if c.config.Quotas != nil {
 		report.QuotaUses = c.config.Quotas.QuotaUses(now)
@@ -79,7 +80,7 @@
 // handleState processes a heartbeat of the leader, which may carry parts of its state.
 func (c *Coordinator) handleState(sender peer.Peer, state *peerv1.FleetState) {
 	now := time.Now()
-	if state.Term < c.view.Term || state.Leader == nil {
+	if state.Leader == nil || c.precedes(state.Term, state.Leader.Incarnation) {
 		return
 	}
 	if state.Versions == nil {
@@ -88,7 +89,7 @@
 		return
 	}
 	if c.lead != nil {
-		if state.Term <= c.lead.record.Term {
+		if state.Leader.Incarnation == c.config.Self.Incarnation {
 			return
 		}
 		c.stepDown("another VM leads a higher term")
@@ -104,6 +105,7 @@
 	view.Term = state.Term
 	view.Leader = memberFromWire(state.Leader)
 	c.noteHeartbeat(now)
+	c.lastFence = max(c.lastFence, state.LastFence)
 	c.leaderUptimeMillis, c.leaderWrite, c.leaderRepeats = state.SentMillis, state.RecordWrite, state.Repeats
 	c.leaderLacksStore = state.StoreLost && !state.Leaving
 	c.leaderYielding = state.StoreLost || state.Leaving || state.Outranked && outranks(c.config.Self, view.Leader)
@@ -120,6 +122,16 @@
 	}
 }
 
+// precedes reports whether a leader comes before the one that this VM follows. Two leaders may
+// have the same term after the store has been restored from a copy; a VM that has followed one
+// of them and then the other does not go back.
+func (c *Coordinator) precedes(term uint64, incarnation string) bool {
+	if term == c.view.Term {
+		return incarnation < c.view.Leader.Incarnation
+	}
+	return term < c.view.Term
+}
+
 // noteHeartbeat records the arrival of a heartbeat.
 func (c *Coordinator) noteHeartbeat(now time.Time) {
 	c.heartbeatAt = now
@@ -198,23 +210,28 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, checkPauseMax)
 		defer cancel()
-		object, err := c.config.Store.Get(ctx, c.config.RecordName)
-		var record *fleet.Record
-		if err == nil {
-			record, err = decodeRecord(object.Value)
-		}
+		record, version, err := c.readRecord(ctx)
 		e := evidence{known: len(others), silentFor: silentFor}
-		if record != nil && record.Term == view.Term && record.Leader.Incarnation == leader.Incarnation {
-			// The record still names the leader that this VM follows, so what is
-			// known of that leader applies.
+		if fault.Is(err, fault.NotFound) && (view.Term > 0 || c.config.StartedBefore) {
+			// There has been a record, so the store has been restored from a copy without one.
+			e.pastEra, err = true, nil
+		}
+		e.pastEra = e.pastEra || err == nil && c.ofPastEra(record, version)
+		named := record.Leader
+		if e.pastEra && leader.VM != "" {
+			named = leader
+		}
+		if err == nil && named.Incarnation == leader.Incarnation && (e.pastEra || record.Term == view.Term) {
+			// The record still names the leader that this VM follows, or is of a past era,
+			// so what is known of that leader applies.
 			e.yielding = yielding
-			e.recordWritten = record.Write > leaderWrite
+			e.recordWritten = !e.pastEra && record.Write > leaderWrite
 			c.queryVMs(&e, others, view.Term)
 		}
-		if record != nil {
-			e.ended, e.replaced = c.leaderEnded(record.Leader, view)
+		if err == nil && named.VM != "" {
+			e.ended, e.replaced = c.leaderEnded(named, view)
 		}
-		c.config.Loop.Post(func() { c.leaderChecked(record, object.Version, err, e) })
+		c.config.Loop.Post(func() { c.leaderChecked(record, version, err, e) })
 	}()
 }
 
@@ -230,7 +247,8 @@
 }
 
 // queryVMs asks up to queryCount VMs whether they receive heartbeats of the leader of
-// a term, and counts the answers in e.
+// a term, and counts the answers in e. If the record is of a past era, heartbeats of the leader
+// of any term count: VMs may have followed different ones, of which no record tells.
 func (c *Coordinator) queryVMs(e *evidence, others []string, term uint64) {
 	type answer struct {
 		reply *peerv1.LeaderQueryReply
@@ -240,7 +258,7 @@
 	e.asked = min(len(others), queryCount)
 	for _, vm := range others[:e.asked] {
 		go func() {
-			reply, err := c.sendLeaderQuery(vm)
+			reply, err := c.sendLeaderQuery(vm, term)
 			answers <- answer{reply, err}
 		}()
 	}
@@ -251,7 +269,8 @@
 			e.refused++
 		case a.reply != nil:
 			e.answered++
-			if a.reply.Term == term && (a.reply.HeardMillisAgo < 0 || a.reply.HeardMillisAgo > heartbeatTimeout.Milliseconds()*3/4) {
+			e.lastFence = max(e.lastFence, a.reply.LastFence)
+			if (a.reply.Term == term || e.pastEra) && (a.reply.HeardMillisAgo < 0 || a.reply.HeardMillisAgo > heartbeatTimeout.Milliseconds()*3/4) {
 				e.withoutLeader++
 			}
 		}
@@ -259,9 +278,9 @@
 }
 
 // sendLeaderQuery asks a VM, by its name or address, for its term, its incarnation and
-// the time since the last heartbeat that it received.
-func (c *Coordinator) sendLeaderQuery(vm string) (*peerv1.LeaderQueryReply, error) {
-	reply, err := c.call(vm, &peerv1.Control{Kind: &peerv1.Control_LeaderQuery{LeaderQuery: &peerv1.LeaderQuery{}}})
+// the time since the last heartbeat that it received. term is this VM's.
+func (c *Coordinator) sendLeaderQuery(vm string, term uint64) (*peerv1.LeaderQueryReply, error) {
+	reply, err := c.call(vm, &peerv1.Control{Kind: &peerv1.Control_LeaderQuery{LeaderQuery: &peerv1.LeaderQuery{Term: term}}})
 	return reply.GetLeaderQueryReply(), err
 }
 
@@ -275,7 +294,10 @@
 // answerLeaderQuery returns this VM's answer to a leader query; on a leader the time
 // since the last heartbeat is 0.
 func (c *Coordinator) answerLeaderQuery(query *peerv1.LeaderQuery) *peerv1.LeaderQueryReply {
-	reply := &peerv1.LeaderQueryReply{Term: c.view.Term, HeardMillisAgo: time.Since(c.heartbeatAt).Milliseconds(), Incarnation: c.config.Self.Incarnation}
+	c.noteHigherTerm(query.GetTerm())
+	reply := &peerv1.LeaderQueryReply{
+		Term: c.view.Term, HeardMillisAgo: time.Since(c.heartbeatAt).Milliseconds(), Incarnation: c.config.Self.Incarnation, LastFence: c.lastFence,
+	}
 	if c.lead != nil {
 		reply.HeardMillisAgo = 0
 	}
@@ -292,7 +314,7 @@
 		replaced = leader.Incarnation != c.config.Self.Incarnation
 		return replaced, replaced
 	}
-	reply, err := c.sendLeaderQuery(leader.Address)
+	reply, err := c.sendLeaderQuery(leader.Address, view.Term)
 	if err != nil {
 		if !errors.Is(err, syscall.ECONNREFUSED) {
 			return false, false
@@ -309,6 +331,7 @@
 func (c *Coordinator) leaderChecked(record *fleet.Record, revision int64, err error, e evidence) {
 	c.checking = false
 	now := time.Now()
+	c.lastFence = max(c.lastFence, e.lastFence)
 	c.observer.NoteStoreAnswer(err, now)
 	wasUnreadable := c.recordUnreadable
 	c.recordUnreadable = err != nil && !fault.Is(err, fault.NotFound)
@@ -320,11 +343,11 @@
 	switch {
 	case c.lead != nil || c.leaving:
 	case fault.Is(err, fault.NotFound):
-		c.takeOver(&fleet.Record{}, 0, "no-record", true)
+		c.takeOver(&fleet.Record{}, store.Absent, "no-record", true, false)
 	case err != nil:
 		c.storeFailedAt = now
 		events.RecordUnreadable.Log(c.config.Logger).Err(err).Uint64("term", c.view.Term).Dur("silent", e.silentFor).Send()
-	case record.Term > c.view.Term && !e.ended:
+	case record.Term > c.view.Term && !e.ended && !e.pastEra:
 		c.follow(record, now)
 	default:
 		e.recordUnchangedFor = c.recordUnchangedFor(revision, now)
@@ -337,14 +360,14 @@
 			Int("deaf", e.withoutLeader).Int("dead", e.refused).Bool("written", e.recordWritten).Dur("record_unchanged", e.recordUnchangedFor).
 			Bool("ended", e.ended).Bool("yielding", e.yielding).Bool("takes_over", may).Str("reason", reason).Send()
 		if may {
-			c.takeOver(record, revision, reason, e.replaced && !e.yielding)
+			c.takeOver(record, revision, reason, e.replaced && !e.yielding, e.pastEra)
 		}
 	}
 }
 
 // recordUnchangedFor returns how long this VM has read the record at a revision.
 func (c *Coordinator) recordUnchangedFor(revision int64, now time.Time) time.Duration {
-	if revision != c.recordRevision {
+	if revision != c.recordRevision || c.recordRevisionSince.IsZero() {
 		c.recordRevision, c.recordRevisionSince = revision, now
 	}
 	return now.Sub(c.recordRevisionSince)
--- a/internal/process/coordinator/propagation_test.go
+++ b/internal/process/coordinator/propagation_test.go
@@ -121,9 +121,9 @@
 // awaitRecordWrite waits until the leader has written the record: it then takes longest to
 // notice that it has lost the store.
 func (w *world) awaitRecordWrite() {
-	before, _ := w.memory.Get(context.Background(), "own/record")
+	before, _ := w.store().Get(context.Background(), "own/record")
 	for written := before; written.Version == before.Version; time.Sleep(5 * time.Millisecond) {
-		written, _ = w.memory.Get(context.Background(), "own/record")
+		written, _ = w.store().Get(context.Background(), "own/record")
 	}
 }
 
--- a/internal/process/coordinator/push.go
+++ b/internal/process/coordinator/push.go
@@ -100,7 +100,7 @@
 		Term: l.record.Term, Leader: memberToWire(c.config.Self), Versions: l.parts.versions(now),
 		StoreLost: l.storeLost, Leaving: c.leaving, Outranked: l.outranked, RecordWrite: l.record.Write,
 		Repeats: c.currentRepeats(now), SentMillis: uint64(c.config.Uptime().Milliseconds()),
-		Known: c.knowledgeFor(m), Quota: c.currentQuota(now),
+		Known: c.knowledgeFor(m), Quota: c.currentQuota(now), StoreEra: c.source.era, LastFence: l.record.LastFence,
 	}
 	if m.sentVersions != nil {
 		c.addParts(state, m, now)
@@ -227,6 +227,7 @@
 		c.publishMembersSoon(m)
 	}
 	m.reportedAt, m.term = now, report.Term
+	c.lastFence = max(c.lastFence, report.LastFence)
 	m.reportSentMillis, m.reportArrivedAt = report.SentMillis, c.config.Uptime()
 	if report.Term == l.record.Term {
 		if c.config.Quotas != nil {
--- a/internal/process/coordinator/record.go
+++ b/internal/process/coordinator/record.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
 	"github.com/chestnutcourse/chestnutcourse/internal/process/fault"
+	"github.com/chestnutcourse/chestnutcourse/internal/process/store"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/fleet"
 )
 
@@ -43,6 +45,10 @@
 	if l.laterLeaderSeenAt != 0 && l.storeConfirmedAt < l.laterLeaderSeenAt {
 		return false
 	}
+	if l.leaseTable.recovering {
+		// The store does not know what leaders of before it was restored have done.
+		return l.otherVoters() == 0 || c.hasMajority()
+	}
 	return now-l.storeConfirmedAt < leaderLease && l.storeConfirmedAt >= l.stalledAt || c.hasMajority()
 }
 
@@ -122,12 +128,17 @@
 // updateRecord writes the leader's record. It calls done on the loop with the result,
 // unless the leadership has ended.
 func (c *Coordinator) updateRecord(record fleet.Record, done func(error)) {
+	record.LastFence, record.Recovering = c.lead.leaseTable.fences.reserved(), c.lead.leaseTable.recovering
+	c.putRecord(record, c.lead.revision, func(fleet.Record) { done(nil) }, done)
+}
+
+// putRecord writes the leader's record over the one at a revision. It calls written or failed on
+// the loop with the result, unless the leadership has ended.
+func (c *Coordinator) putRecord(record fleet.Record, revision int64, written func(fleet.Record), failed func(error)) {
 	l := c.lead
 	l.writing = true
 	l.writes++
-	record.Write = l.writes
-	record.LastFence = l.leaseTable.fences.reserved()
-	revision := l.revision
+	record.Write, record.Era = l.writes, c.config.Eras.Name(revision)
 	began := c.config.Uptime()
 	go func() {
 		version, err := c.writeRecord(&record, revision)
@@ -138,18 +149,25 @@
 			l.writing = false
 			l.noteStoreAnswer(err, time.Now())
 			c.observer.NoteStoreAnswer(err, time.Now())
-			if fault.Is(err, fault.Conflict) {
-				c.stepDown("another VM has changed the record")
-				return
-			}
-			if err == nil {
+			switch {
+			case err == nil && c.config.Eras.Name(version) != record.Era:
+				c.stepDown("the store has been restored while the record was written")
+			case err == nil:
 				l.record, l.revision, l.storeConfirmedAt = record, version, began
 				l.membersAtConfirmation = len(l.members)
 				l.leaseTable.fences.last = record.LastFence
 				l.leaseTable.prune()
 				l.renewRecordAt = time.Now().Add(recordRenewEvery)
+				c.lastFence = max(c.lastFence, record.LastFence)
+				written(record)
+			case fault.Is(err, fault.Conflict) && errors.Is(err, store.ErrRestored):
+				failed(err)
+				c.recoverRecord()
+			case fault.Is(err, fault.Conflict), errors.Is(err, store.ErrRestored):
+				c.stepDown("another VM has changed the record")
+			default:
+				failed(err)
 			}
-			done(err)
 		})
 	}()
 }
@@ -176,6 +194,12 @@
 		if err == nil || c.ctx.Err() != nil {
 			return version, err
 		}
+		if errors.Is(err, store.ErrRestored) {
+			if unknown && fault.Is(err, fault.Conflict) {
+				err = fault.Wrap(store.ErrRestored, fault.UnknownOutcome, "read the record again", "an earlier attempt to write the record may have replaced one that was not read")
+			}
+			return 0, err
+		}
 		if fault.Is(err, fault.Conflict) {
 			return c.readBack(record, err)
 		}
@@ -199,7 +223,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if found.Leader.Incarnation == record.Leader.Incarnation && found.Term == record.Term && found.Write == record.Write {
+	if found.Leader.Incarnation == record.Leader.Incarnation && found.Term == record.Term && found.Write == record.Write && found.Era == record.Era {
 		return object.Version, nil
 	}
 	return 0, refused
--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -35,8 +36,13 @@
 	began  time.Time
 	random *rand.Rand
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// memory is the store. Nodes in lagging still use an instance from before the store was
+	// restored from a copy.
 	memory  *store.Memory
+	lagging map[string]*store.Memory
+	// eras holds the names of the eras of the instances.
+	eras    map[*store.Memory]string
 	nodes   map[string]*node
 	targets map[string]*fakeTarget
 	// inFlight counts the requests in flight by target.
@@ -55,6 +61,8 @@
 	connecting    map[string]int
 	// outage makes the store unavailable to all VMs.
 	outage bool
+	// started is set once the first nodes have been started.
+	started bool
 	// storeCalls are the times of the calls to the store, each poll of a watch among them.
 	storeCalls []time.Time
 	// storeSilentFor is how long calls to a store that is not reached take to fail, as if
@@ -121,6 +129,8 @@
 	// linkFreeAt is when the messages sent so far have left the node's link; guarded by
 	// world.mu.
 	linkFreeAt time.Time
+	// eras are the eras of the store that the node has met.
+	eras *store.Eras
 	// retryCounts are the retry-budget counters of the node's broker; retryCountsAt is the
 	// time of the heartbeat from which they were adopted.
 	retryCounts   map[string]admission.RepeatCount
@@ -137,10 +147,11 @@
 func newWorldWith(t *testing.T, seed uint64, nodes, targets int, steadyKeys bool) *world {
 	w := &world{
 		steadyKeys: steadyKeys,
-		t:          t, began: time.Now(), random: rand.New(rand.NewPCG(seed, 7)), memory: store.NewMemory(), nodes: map[string]*node{},
+		t:          t, began: time.Now(), random: rand.New(rand.NewPCG(seed, 7)), memory: store.NewMemory(), lagging: map[string]*store.Memory{}, nodes: map[string]*node{},
 		targets: map[string]*fakeTarget{}, cut: map[string]bool{}, refused: map[string]bool{}, pendingCalls: map[uint64]chan *peerv1.Control{},
 		storeAnswerDelays: map[string]time.Duration{}, connectDelays: map[string]time.Duration{}, connecting: map[string]int{},
 	}
+	w.eras = map[*store.Memory]string{w.memory: "first"}
 	config := fleet.Config{Version: 1, Services: []fleet.Service{{Name: service, Keyed: true}}}
 	w.put("config/main", config)
 	for i := range targets {
@@ -149,6 +160,7 @@
 	for i := range nodes {
 		w.startNode(fmt.Sprintf("n%d", i))
 	}
+	w.started = true
 	return w
 }
 
@@ -158,15 +170,24 @@
 	if err != nil {
 		panic(err)
 	}
-	found, _ := w.memory.Get(context.Background(), name)
-	if _, err := w.memory.Put(context.Background(), name, content, found.Version); err != nil {
+	memory := w.store()
+	found, _ := memory.Get(context.Background(), name)
+	if _, err := memory.Put(context.Background(), name, content, found.Version); err != nil {
 		panic(err)
 	}
 }
 
+// store returns the present instance of the store.
+func (w *world) store() *store.Memory {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.memory
+}
+
 func (w *world) remove(name string) {
-	if found, err := w.memory.Get(context.Background(), name); err == nil {
-		_ = w.memory.Delete(context.Background(), name, found.Version)
+	memory := w.store()
+	if found, err := memory.Get(context.Background(), name); err == nil {
+		_ = memory.Delete(context.Background(), name, found.Version)
 	}
 }
 
@@ -175,15 +196,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.calls++
-	n := &node{world: w, name: name, incarnation: fmt.Sprintf("%s-%d", name, w.calls), loop: loop.New(), view: &fleet.View{}, acceptedBy: map[uint64]*fakeTarget{}, quotaReports: map[string]int{}}
+	n := &node{world: w, name: name, incarnation: fmt.Sprintf("%s-%d", name, w.calls), loop: loop.New(), view: &fleet.View{}, acceptedBy: map[uint64]*fakeTarget{}, eras: &store.Eras{}, quotaReports: map[string]int{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	logger := zerolog.New(historyWriter{w}).With().Str("vm", n.incarnation).Logger()
 	n.coordinator = coordinator.New(coordinator.Config{
 		Self:       fleet.Member{VM: name, Incarnation: n.incarnation, Address: name + ":1", Processor: processorOf(name), FailureDomain: domainOf(name)},
-		RecordName: "own/record", Names: names, Loop: n.loop, Store: nodeStore{n}, Sender: n, Targets: n,
+		RecordName: "own/record", Names: names, Loop: n.loop, Store: nodeStore{n}, Eras: n.eras, Sender: n, Targets: n,
 		LinkRate: w.linkRate, LongestHold: 10 * time.Second, Publish: n.publish, Observe: n.observe, SteadyKeys: w.steadyKeys, Demand: n.demand,
-		Repeats: n.repeats, AdoptRepeats: n.adoptRepeats, Quotas: n,
+		StartedBefore: w.started, Repeats: n.repeats, AdoptRepeats: n.adoptRepeats, Quotas: n,
 		Dial: n.dial, Uptime: func() time.Duration { return time.Since(w.began) }, Logger: &logger,
 	})
 	go n.loop.Run(ctx)
@@ -478,16 +499,37 @@
 	return nil
 }
 
+// instance returns the instance of the store that the node uses, and its era.
+func (s nodeStore) instance() (*store.Memory, int64) {
+	w := s.node.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	memory := w.memory
+	if former := w.lagging[s.node.name]; former != nil {
+		memory = former
+	}
+	return memory, s.node.eras.Meet(w.eras[memory])
+}
+
 func (s nodeStore) Get(ctx context.Context, name string) (store.Object, error) {
 	if err := s.call(ctx); err != nil {
 		return store.Object{}, err
 	}
-	return s.node.world.memory.Get(ctx, name)
+	memory, era := s.instance()
+	o, err := memory.Get(ctx, name)
+	if past := s.node.eras.AfterRead(store.Absent, era); past != nil {
+		return store.Object{}, past
+	}
+	o.Version = s.node.eras.Version(era, o.Version)
+	return o, err
 }
 
 // Put writes an object. If its answer is lost, the write takes effect at once or
 // seconds later.
 func (s nodeStore) Put(ctx context.Context, name string, value []byte, expected int64) (int64, error) {
+	if err := s.node.eras.BeforeCall(expected); err != nil {
+		return 0, err
+	}
 	if err := s.call(ctx); err != nil {
 		return 0, err
 	}
@@ -496,23 +538,26 @@
 		delay := time.Duration(rand.IntN(3)) * time.Second
 		go func() {
 			time.Sleep(delay)
-			_, _ = w.memory.Put(context.Background(), name, value, expected)
+			memory, _ := s.instance()
+			_, _ = memory.Put(context.Background(), name, value, store.Revision(expected))
 		}()
 		return 0, fault.New(fault.UnknownOutcome, "read back", "no answer")
 	}
-	version, err := w.memory.Put(ctx, name, value, expected)
+	memory, era := s.instance()
+	version, err := memory.Put(ctx, name, value, store.Revision(expected))
 	w.mu.Lock()
 	takes := w.storeAnswerDelays[s.node.name]
 	w.mu.Unlock()
 	time.Sleep(takes)
-	return version, err
+	return s.node.eras.Version(era, version), s.node.eras.AfterWrite(expected, era, err)
 }
 
 func (s nodeStore) Delete(ctx context.Context, name string, expected int64) error {
 	if err := s.call(ctx); err != nil {
 		return err
 	}
-	return s.node.world.memory.Delete(ctx, name, expected)
+	memory, era := s.instance()
+	return s.node.eras.AfterWrite(expected, era, memory.Delete(ctx, name, store.Revision(expected)))
 }
 
 func (s nodeStore) List(ctx context.Context, prefix string) ([]store.Object, int64, error) {
@@ -523,21 +568,34 @@
 	takes := s.node.world.listDelay
 	s.node.world.mu.Unlock()
 	time.Sleep(takes)
-	return s.node.world.memory.List(ctx, prefix)
+	memory, era := s.instance()
+	objects, version, err := memory.List(ctx, prefix)
+	return s.ofEra(era, objects), s.node.eras.Version(era, version), cmp.Or(s.node.eras.AfterRead(store.Absent, era), err)
+}
+
+// ofEra sets the versions of objects to those of an era.
+func (s nodeStore) ofEra(era int64, objects []store.Object) []store.Object {
+	for i := range objects {
+		objects[i].Version = s.node.eras.Version(era, objects[i].Version)
+	}
+	return objects
 }
 
 // Watch makes one poll, as the platform's client does.
 func (s nodeStore) Watch(ctx context.Context, prefix string, after int64) ([]store.Object, int64, error) {
-	if err := s.call(ctx); err != nil {
+	if err := cmp.Or(s.node.eras.BeforeCall(after), s.call(ctx)); err != nil {
 		return nil, 0, err
 	}
 	poll, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
-	objects, next, err := s.node.world.memory.Watch(poll, prefix, after)
+	memory, _ := s.instance()
+	objects, next, err := memory.Watch(poll, prefix, store.Revision(after))
 	cancel()
 	if down := s.reach(context.Background()); down != nil {
 		return nil, 0, down
 	}
-	return objects, next, err
+	// Whoever serves the store when the poll ends answers it.
+	_, era := s.instance()
+	return s.ofEra(era, objects), s.node.eras.Version(era, next), cmp.Or(s.node.eras.AfterRead(after, era), err)
 }
 
 // chance returns true with a probability.
--- a/internal/process/events/configuration.go
+++ b/internal/process/events/configuration.go
@@ -46,6 +46,7 @@
 
 // Events of the watches of those objects.
 var (
+	StoreRestored    = register(6311, "store-restored", zerolog.WarnLevel, "The store has been restored from a copy: entries that its list lacks, or that undo what is known, are waited for.")
 	WatchInterrupted = register(6308, "watch-interrupted", zerolog.WarnLevel, "A list or watch of declarations failed or was interrupted; it is retried, or the objects are listed again.")
 )
 
--- a/internal/process/events/ownership.go
+++ b/internal/process/events/ownership.go
@@ -37,5 +37,7 @@
 	OrderDone          = register(4112, "order-done", zerolog.InfoLevel, "A target has answered a grant or a release, or failed to. fence_next is the higher fence that the slice gets after a failed grant. Renewals that change nothing are not logged.")
 	GrantsRanOut       = register(4113, "grants-ran-out", zerolog.InfoLevel, "A former owner did not answer; its grants have expired, so the keys go to the next owner.")
 	TargetReachChecked = register(4114, "target-reach-checked", zerolog.InfoLevel, "A target's port refuses connections; VMs inside and outside its failure domain were asked whether they reach it.")
+	RecordRecovered    = register(4117, "record-recovered", zerolog.WarnLevel, "The store has been restored from a copy; the leader has written the record again and grants nothing new until no lost grant can be in force.")
+	RecoveryEnded      = register(4118, "recovery-ended", zerolog.InfoLevel, "No grant of before the store was restored can be in force any more; the leader moves keys again.")
 	TargetsAssumedCold = register(4116, "targets-assumed-cold", zerolog.WarnLevel, "Some targets may have restarted, and the store did not answer whether they have. They get what cold targets bear until they would be warm.")
 )
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -97,11 +97,15 @@
 	LongestHold time.Duration
 	// StopWithin bounds the duration of a graceful stop.
 	StopWithin time.Duration
+	// StartedBefore is set unless the deployment starts for the first time.
+	StartedBefore bool
 }
 
 // Platform holds the platform's services and formats that a gateway uses.
 type Platform struct {
 	Store store.Store
+	// Eras are the eras of Store; nil if it is never restored from a copy.
+	Eras *store.Eras
 	// RecordName is the store object that holds the ownership record.
 	RecordName string
 	Names      observer.Names
@@ -169,10 +173,11 @@
 	})
 	g.coordinator = coordinator.New(coordinator.Config{
 		Self:       g.self,
-		RecordName: platform.RecordName, Names: platform.Names, Loop: g.loop, Store: platform.Store,
+		RecordName: platform.RecordName, Names: platform.Names, Loop: g.loop, Store: platform.Store, Eras: platform.Eras,
 		Sender: g.transport, Targets: platform.Targets, LongestHold: g.settings.LongestHold, LinkRate: g.settings.LinkRate,
 		Publish: g.publish, Observe: g.desk.Observe, SteadyKeys: broker.Loads != nil, Demand: g.desk.Demand, Dial: dial,
 		Repeats: g.desk.Repeats, AdoptRepeats: g.desk.AdoptRepeats, Quotas: g.desk, Uptime: uptime, Logger: &g.logger,
+		StartedBefore: g.settings.StartedBefore,
 	})
 	g.handler = forward.New(forward.Config{
 		Domain: g.settings.FailureDomain, Dialect: platform.Dialect, Permits: g.desk, View: g.view.Load,
--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -4,7 +4,8 @@
 // Guarantees: the configuration never goes back to a lower version; an entry
 // that cannot be decoded does not affect the others; a target whose entry is
 // missing after a store outage counts as removed only once the entry has had time
-// to reappear. Any other removal takes effect at once.
+// to reappear. Any other removal takes effect at once. A store that comes back from a copy
+// undoes nothing that is known (see restored.go).
 package observer
 
 import (
@@ -73,6 +74,8 @@
 	Contact func(error)
 	// Uptime returns the time since the VM's start, including time suspended.
 	Uptime func() time.Duration
+	// Eras are the eras of the store; nil if it is never restored.
+	Eras *store.Eras
 }
 
 // Observer holds the latest declarations. Its methods must be called on the loop.
@@ -91,6 +94,10 @@
 	// removedAt holds when targets that are still remembered were removed.
 	removedAt map[string]time.Time
 	evacuated map[string]bool
+	// declaredEvacuations are the failure domains with an entry in the store, and
+	// evacuationRevisions the revisions of the entries that were last read.
+	declaredEvacuations map[string]bool
+	evacuationRevisions map[string]int64
 	// evacuationEndedAt holds when the last evacuation of a failure domain ended.
 	evacuationEndedAt map[string]time.Time
 	// reappearUntil is the time until which missing entries may still reappear after
@@ -107,6 +114,11 @@
 	// their entries are read, askAgain if they have to be read once more after that.
 	assumed              map[string]assumption
 	confirming, askAgain bool
+	// copiedTargets and copiedEvacuations tell what of the lists may stem from a copy from
+	// which the store has been restored. heldBack holds the entries of targets that are
+	// ignored for that, by ID.
+	copiedTargets, copiedEvacuations copiedList
+	heldBack                         map[string]store.Object
 }
 
 // assumption is that a target may have restarted and be cold, although its entry does not
@@ -122,7 +134,7 @@
 	return &Observer{
 		config: config, knownAt: map[string]time.Duration{}, targets: map[string]*fleet.Target{}, removedAt: map[string]time.Time{},
 		evacuated: map[string]bool{}, evacuationEndedAt: map[string]time.Time{}, missing: map[string]time.Time{},
-		assumed: map[string]assumption{},
+		assumed: map[string]assumption{}, declaredEvacuations: map[string]bool{}, evacuationRevisions: map[string]int64{}, heldBack: map[string]store.Object{},
 	}
 }
 
@@ -144,8 +156,10 @@
 
 // Seed takes over the declarations in a view. It is called before Start. The targets of
 // the view replace those of a former watch, which may have left since; only a later
-// process of a target is kept.
-func (o *Observer) Seed(view *fleet.View) {
+// process of a target is kept. era is the era of the store that the view is of.
+func (o *Observer) Seed(view *fleet.View, era string) {
+	o.copiedTargets.seed(era)
+	o.copiedEvacuations.seed(era)
 	if view.Config != nil && (o.fleetConfig == nil || view.Config.Version > o.fleetConfig.Version) {
 		o.fleetConfig = view.Config
 	}
@@ -221,7 +235,7 @@
 
 // watchPrefix runs one watch. Its callbacks are posted to the loop and dropped once
 // the watch has been stopped.
-func (o *Observer) watchPrefix(ctx context.Context, prefix string, listed, changed func([]store.Object)) {
+func (o *Observer) watchPrefix(ctx context.Context, prefix string, listed func([]store.Object, int64), changed func([]store.Object)) {
 	post := func(f func()) {
 		o.config.Loop.Post(func() {
 			if ctx.Err() == nil {
@@ -241,7 +255,9 @@
 		})
 	}
 	go store.Follow(ctx, o.config.Store, prefix, store.Follower{
-		Listed: func(objects []store.Object) { postAnswer(listed, objects) },
+		Listed: func(objects []store.Object, version int64) {
+			postAnswer(func(objects []store.Object) { listed(objects, version) }, objects)
+		},
 		Changed: func(objects []store.Object) {
 			if len(objects) == 0 {
 				postAnswer(nil, nil)
@@ -289,7 +305,7 @@
 	asked, ctx := maps.Clone(o.assumed), o.watchContext
 	o.askAgain = false
 	go func() {
-		objects, _, err := o.config.Store.List(ctx, o.config.Names.Targets)
+		objects, version, err := o.config.Store.List(ctx, o.config.Names.Targets)
 		o.config.Loop.Post(func() {
 			o.confirming = false
 			switch {
@@ -297,6 +313,8 @@
 				return
 			case err != nil:
 				events.TargetsAssumedCold.Log(o.config.Logger).Int("targets", len(asked)).Err(err).Send()
+			case o.mayBeCopied(version, time.Now()):
+				// The entries may be those of former processes.
 			case o.endAssumptions(asked, objects):
 				o.config.Changed()
 			}
@@ -388,7 +406,7 @@
 			changed = true
 		}
 	}
-	return changed
+	return o.tickRestored(now) || changed
 }
 
 // Config returns the configuration, or nil if none is known.
@@ -411,7 +429,7 @@
 // Evacuated returns a copy of the set of evacuated failure domains.
 func (o *Observer) Evacuated() map[string]bool { return maps.Clone(o.evacuated) }
 
-func (o *Observer) configListed(objects []store.Object) {
+func (o *Observer) configListed(objects []store.Object, _ int64) {
 	o.configChanged(objects)
 	if o.cautious {
 		o.watchOthers()
@@ -448,7 +466,8 @@
 	}
 }
 
-func (o *Observer) targetsListed(objects []store.Object) {
+func (o *Observer) targetsListed(objects []store.Object, version int64) {
+	o.noteList(o.config.Names.Targets, &o.copiedTargets, version)
 	present := map[string]bool{}
 	o.eachObject(objects, func(object store.Object) {
 		// An entry that is invalid or older says nothing new about the target, but it has
@@ -456,9 +475,10 @@
 		present[o.targetID(object)] = true
 		o.applyTarget(object)
 	})
+	until := laterOf(o.reappearUntil, o.copiedTargets.rewrittenBy())
 	for id := range o.targets {
 		if !present[id] {
-			o.handleMissing(id, o.reappearUntil)
+			o.handleMissing(id, until)
 		}
 	}
 }
@@ -470,6 +490,7 @@
 	}
 	o.eachObject(objects, func(object store.Object) {
 		if object.Deleted {
+			delete(o.heldBack, o.targetID(object))
 			o.handleMissing(o.targetID(object), removedUntil)
 			return
 		}
@@ -497,6 +518,14 @@
 	if known != nil && known.Born > t.Born {
 		return
 	}
+	delete(o.heldBack, t.ID)
+	if known != nil && known.Life == t.Life && o.copiedTargets.includes(object.Version, now) {
+		t.ColdUntil = laterOf(t.ColdUntil, known.ColdUntil)
+		if known.Leaving && !t.Leaving {
+			o.heldBack[t.ID] = object
+			return
+		}
+	}
 	if known == nil || known.Life != t.Life || known.Leaving != t.Leaving {
 		events.TargetObserved.Log(o.config.Logger).Str("target", t.ID).Int64("born", t.Born).Str("service", t.Service).
 			Str("address", t.Address).Bool("leaving", t.Leaving).Dur("cold", time.Until(t.ColdUntil)).Int64("revision", object.Version).Send()
@@ -552,29 +581,37 @@
 	events.TargetGone.Log(o.config.Logger).Str("target", id).Int64("born", t.Born).Str("service", t.Service).Send()
 }
 
-func (o *Observer) evacuationsListed(objects []store.Object) {
-	present := map[string]bool{}
+func (o *Observer) evacuationsListed(objects []store.Object, version int64) {
+	o.noteList(o.config.Names.Evacuations, &o.copiedEvacuations, version)
+	now := time.Now()
+	clear(o.declaredEvacuations)
 	for _, object := range objects {
-		present[o.config.Names.DecodeEvacuation(object)] = true
+		domain := o.config.Names.DecodeEvacuation(object)
+		o.declaredEvacuations[domain] = true
+		ended := !o.evacuated[domain] && o.evacuationRevisions[domain] == store.Revision(object.Version)
+		if !ended || !o.copiedEvacuations.includes(object.Version, now) {
+			o.evacuate(domain)
+			o.evacuationRevisions[domain] = store.Revision(object.Version)
+		}
 	}
 	for domain := range o.evacuated {
-		if !present[domain] {
+		if !o.declaredEvacuations[domain] && !now.Before(o.copiedEvacuations.rewrittenBy()) {
 			o.restore(domain)
 		}
 	}
-	for domain := range present {
-		o.evacuate(domain)
-	}
 }
 
 func (o *Observer) evacuationsChanged(objects []store.Object) {
 	for _, object := range objects {
 		domain := o.config.Names.DecodeEvacuation(object)
 		if object.Deleted {
+			delete(o.declaredEvacuations, domain)
 			o.restore(domain)
-		} else {
-			o.evacuate(domain)
+			continue
 		}
+		o.declaredEvacuations[domain] = true
+		o.evacuationRevisions[domain] = store.Revision(object.Version)
+		o.evacuate(domain)
 	}
 }
 
--- a/internal/process/observer/observer_test.go
+++ b/internal/process/observer/observer_test.go
@@ -80,7 +80,7 @@
 		for _, id := range []string{"t0", "t1"} {
 			targets[id] = &fleet.Target{Life: fleet.Life{ID: id, Born: 1}}
 		}
-		o.Seed(&fleet.View{Targets: targets})
+		o.Seed(&fleet.View{Targets: targets}, "")
 		o.Start(t.Context())
 	})
 	o.tick(during)
@@ -215,7 +215,7 @@
 				assert.NilError(t, o.store.Delete(t.Context(), "targets/t1", present.Version))
 				o.noteOutage(5 * time.Second)
 				o.config.Loop.Call(func() {
-					o.Seed(&fleet.View{Targets: seen})
+					o.Seed(&fleet.View{Targets: seen}, "")
 					o.Start(t.Context())
 				})
 				time.Sleep(time.Second)
--- a/internal/process/store/follow.go
+++ b/internal/process/store/follow.go
@@ -20,9 +20,9 @@
 // Follower receives the objects whose names begin with a prefix. Its functions are
 // called from the goroutine that runs Follow.
 type Follower struct {
-	// Listed receives all objects, at the start and whenever changes may have been
-	// missed.
-	Listed func([]Object)
+	// Listed receives all objects, and the version of the list, at the start and whenever
+	// changes may have been missed.
+	Listed func(objects []Object, version int64)
 	// Changed receives later changes in order; none if the store has confirmed that there
 	// are none.
 	Changed func([]Object)
@@ -46,7 +46,7 @@
 			continue
 		}
 		bound = followRetryMin
-		f.Listed(objects)
+		f.Listed(objects, revision)
 		followChanges(ctx, s, prefix, revision, f)
 		sleepJittered(ctx, relistPause)
 	}
--- a/internal/version/fleet/view.go
+++ b/internal/version/fleet/view.go
@@ -131,6 +131,12 @@
 	LastFence uint64 `json:"lastFence"`
 	// Slices are the slices of each keyed service, sorted by key.
 	Slices map[string][]Slice `json:"slices,omitempty"`
+	// Era is the era of the store in which the record was written; empty if the store names
+	// none. In a copy from which the store has been restored, it is a past one.
+	Era string `json:"era,omitempty"`
+	// Recovering is set from the first write in an era until no leader that lost writes may
+	// have named can have a grant in force.
+	Recovering bool `json:"recovering,omitempty"`
 }
 
 // Load is the load that a target reports.
