Bound the number of eras that a client tells apart

A store that named another era in each answer would take memory without bound, and the number of an era would leave its bits of the version. A record written before the store named any era is not taken for one of a past era.

--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -143,7 +143,7 @@
 				events.TakeoverFailed.Log(c.config.Logger).Uint64("term", record.Term).Str("reason", reason).Err(err).Send()
 				return
 			}
-			if c.config.Eras.Name(version) != record.Era {
+			if c.ofPastEra(&record, version) {
 				events.TakeoverFailed.Log(c.config.Logger).Uint64("term", record.Term).Str("reason", reason).Err(store.ErrRestored).Send()
 				return
 			}
--- a/internal/process/coordinator/record.go
+++ b/internal/process/coordinator/record.go
@@ -150,7 +150,7 @@
 			l.noteStoreAnswer(err, time.Now())
 			c.observer.NoteStoreAnswer(err, time.Now())
 			switch {
-			case err == nil && c.config.Eras.Name(version) != record.Era:
+			case err == nil && c.ofPastEra(&record, version):
 				c.stepDown("the store has been restored while the record was written")
 			case err == nil:
 				l.record, l.revision, l.storeConfirmedAt = record, version, began
--- a/internal/process/store/eras.go
+++ b/internal/process/store/eras.go
@@ -16,6 +16,9 @@
 // number the store's eras, so that versions of different eras differ, and later ones are higher.
 const revisionBits = 48
 
+// maxEras is the number of eras that a client tells apart; further ones count as the last.
+const maxEras = 1 << 14
+
 // Revision returns the store's revision of a version.
 func Revision(version int64) int64 { return version & (1<<revisionBits - 1) }
 
@@ -44,7 +47,9 @@
 			return int64(number)
 		}
 	}
-	e.names = append(e.names, name)
+	if len(e.names) < maxEras {
+		e.names = append(e.names, name)
+	}
 	return e.latest()
 }
 
