Survive a record that cannot be decoded

Found while reading: a follower that checked a record which cannot be decoded used its fields, and its process would have ended. TestUnreadableRecordIsWaitedFor panics without this change. Before such a record was only logged.

Also: a VM that takes over a record of a past era takes the owners of keys from the record if it has heard of no leader as late as the record's.

--- a/internal/process/coordinator/leader.go
+++ b/internal/process/coordinator/leader.go
@@ -126,7 +126,7 @@
 	reserved := fencesAfter(former)
 	if pastEra {
 		record.Term = max(former.Term, c.view.Term) + termJump
-		record.Slices = c.recoveredSlices(former.Slices)
+		record.Slices = c.recoveredSlices(former)
 		reserved = recoveredFences(max(former.LastFence, c.lastFence), record.Slices)
 		record.Recovering = true
 	}
--- a/internal/process/coordinator/restore_test.go
+++ b/internal/process/coordinator/restore_test.go
@@ -347,3 +347,20 @@
 		})
 	}
 }
+
+// TestUnreadableRecordIsWaitedFor checks that a record that cannot be decoded ends no VM, and that
+// one of them leads once it has been deleted, as the error asks for.
+func TestUnreadableRecordIsWaitedFor(t *testing.T) {
+	run(t, seed.Value, 4, 5, func(w *world) {
+		w.servedWithin(2 * time.Second)
+		time.Sleep(2 * time.Second)
+		leader, _ := w.leader()
+		w.killNode(leader)
+		w.put("own/record", "no record")
+		time.Sleep(5 * time.Second)
+		_, count := w.leader()
+		w.check(count == 0, "%d leaders of a record that cannot be read", count)
+		w.remove("own/record")
+		w.servedWithin(15 * time.Second)
+	})
+}
--- a/internal/process/coordinator/restored.go
+++ b/internal/process/coordinator/restored.go
@@ -45,12 +45,15 @@
 }
 
 // recoveredSlices returns the slices of a record of a past era with the owners that this VM
-// knows of, which may be later ones.
-func (c *Coordinator) recoveredSlices(recorded map[string][]fleet.Slice) map[string][]fleet.Slice {
-	recovered := maps.Clone(recorded)
+// knows of, unless it has heard of no leader as late as the record's.
+func (c *Coordinator) recoveredSlices(record *fleet.Record) map[string][]fleet.Slice {
+	recovered := maps.Clone(record.Slices)
 	if recovered == nil {
 		recovered = map[string][]fleet.Slice{}
 	}
+	if c.view.Term < record.Term {
+		return recovered
+	}
 	for service, list := range c.view.Slices {
 		if len(list) == 0 {
 			continue
@@ -94,14 +97,17 @@
 	}()
 }
 
-// readRecord reads the record. If there is none, it returns an empty one with the error.
+// readRecord reads the record. It returns an empty one with an error.
 func (c *Coordinator) readRecord(ctx context.Context) (*fleet.Record, int64, error) {
 	object, err := c.config.Store.Get(ctx, c.config.RecordName)
 	if err != nil {
 		return &fleet.Record{}, store.Absent, err
 	}
 	record, err := decodeRecord(object.Value)
-	return record, object.Version, err
+	if err != nil {
+		return &fleet.Record{}, store.Absent, err
+	}
+	return record, object.Version, nil
 }
 
 // writeRecovery writes the leader's record over the one at a version, as a recovery with a term
