--- a/internal/process/coordinator/restore_test.go
+++ b/internal/process/coordinator/restore_test.go
@@ -102,7 +102,7 @@
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
 			t.Parallel()
 			run(t, seed.Value+i, 4, 5, func(w *world) {
-				w.withLock(func() { w.checkEndedTargets = true })
+				w.withLock(func() { w.checkEndedTargets, w.delaysMessages = true, i%2 == 1 })
 				copyOf := w.copyEvery(200 * time.Millisecond)
 				w.servedWithin(2 * time.Second)
 				for range 4 {
