--- a/internal/process/coordinator/restore_test.go
+++ b/internal/process/coordinator/restore_test.go
@@ -209,14 +209,19 @@
 					w.restore(copied, 3*time.Second)
 					w.keepsKnowing(c, 9*time.Second)
 					time.Sleep(time.Second)
-					w.apply(configuration(7), w.running)
-					w.apply(drain("t4"), w.running)
+					w.takesChanges()
 				})
 			})
 		}
 	}
 }
 
+// takesChanges checks that later changes of the declarations reach all nodes.
+func (w *world) takesChanges() {
+	w.apply(configuration(7), w.running)
+	w.apply(drain("t4"), w.running)
+}
+
 // keepsKnowing checks that all nodes know of a change all the while.
 func (w *world) keepsKnowing(c change, during time.Duration) {
 	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
@@ -267,8 +272,7 @@
 					time.Sleep(9 * time.Second)
 					w.restartNode(first)
 					w.servedWithin(6 * time.Second)
-					w.apply(configuration(7), w.running)
-					w.apply(drain("t4"), w.running)
+					w.takesChanges()
 				})
 			})
 		}
@@ -308,8 +312,7 @@
 				w.restartNode(first)
 				w.restartNode(group[1])
 				w.servedWithin(10 * time.Second)
-				w.apply(configuration(7), w.running)
-				w.apply(drain("t4"), w.running)
+				w.takesChanges()
 			})
 		})
 	}
