--- a/tests/platform/restored_test.go
+++ b/tests/platform/restored_test.go
@@ -1,7 +1,6 @@
 package platform_test
 
 import (
-	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -79,7 +78,7 @@
 		for key := 0; key < 65536; key += deployment.KeyStep {
 			if d.Holders(key) > 1 {
 				twice++
-				t.Log(fmt.Sprintf("key %d has two holders", key))
+				t.Logf("key %d has two holders", key)
 			}
 		}
 	}
