Start the worlds' first nodes as those of a first start

A world now says so once there is a record or the store has been restored.

The product is not concerned: the settings file says whether the deployment starts for the first time.

--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -61,8 +61,6 @@
 	connecting    map[string]int
 	// outage makes the store unavailable to all VMs.
 	outage bool
-	// started is set once the first nodes have been started.
-	started bool
 	// storeCalls are the times of the calls to the store, each poll of a watch among them.
 	storeCalls []time.Time
 	// storeSilentFor is how long calls to a store that is not reached take to fail, as if
@@ -160,7 +158,6 @@
 	for i := range nodes {
 		w.startNode(fmt.Sprintf("n%d", i))
 	}
-	w.started = true
 	return w
 }
 
@@ -184,6 +181,13 @@
 	return w.memory
 }
 
+// hadRecord reports whether there is a record or has been one before a restore. The caller holds
+// w.mu.
+func (w *world) hadRecord() bool {
+	_, err := w.memory.Get(context.Background(), "own/record")
+	return err == nil || len(w.eras) > 1
+}
+
 func (w *world) remove(name string) {
 	memory := w.store()
 	if found, err := memory.Get(context.Background(), name); err == nil {
@@ -204,7 +208,7 @@
 		Self:       fleet.Member{VM: name, Incarnation: n.incarnation, Address: name + ":1", Processor: processorOf(name), FailureDomain: domainOf(name)},
 		RecordName: "own/record", Names: names, Loop: n.loop, Store: nodeStore{n}, Eras: n.eras, Sender: n, Targets: n,
 		LinkRate: w.linkRate, LongestHold: 10 * time.Second, Publish: n.publish, Observe: n.observe, SteadyKeys: w.steadyKeys, Demand: n.demand,
-		StartedBefore: w.started, Repeats: n.repeats, AdoptRepeats: n.adoptRepeats, Quotas: n,
+		StartedBefore: w.hadRecord(), Repeats: n.repeats, AdoptRepeats: n.adoptRepeats, Quotas: n,
 		Dial: n.dial, Uptime: func() time.Duration { return time.Since(w.began) }, Logger: &logger,
 	})
 	go n.loop.Run(ctx)
