--- a/internal/connection/target/connection.go
+++ b/internal/connection/target/connection.go
@@ -83,10 +83,10 @@
 	return n, err
 }
 
-// cutOff reports whether the connection has failed for writing, and ends a write that is in
-// progress. A read that finds the end of the connection does not tell an orderly close from a
-// reset that a write has noticed before it: the kernel reports a reset only once.
-func (s *countingSocket) cutOff() bool {
+// stopWriting ends a write that is in progress and reports whether one has failed before. A read
+// that finds the end of the connection does not tell an orderly close from a reset that a write
+// has noticed before it: the kernel reports a reset only once.
+func (s *countingSocket) stopWriting() (failed bool) {
 	// This fails only on a socket that is already closed.
 	_ = s.SetWriteDeadline(time.Now())
 	s.mu.Lock()
--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -222,7 +222,7 @@
 // Read implements io.Reader. It returns io.EOF only at the end of a complete body.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.response.Body.Read(p)
-	if err == io.EOF && !isFramed(b.response, b.run.method) && b.run.connection.socket.cutOff() {
+	if err == io.EOF && !isFramed(b.response, b.run.method) && b.run.connection.socket.stopWriting() {
 		err = errResetAnswer
 	}
 	switch {
