Ask the next owner's dispatcher again after it has refused

Cause, by a trace of every decision: the owner's dispatcher redirects to the next owner's, which refuses once. The request turns to the other holder of whatever destination comes next, and each refusal turns it again, so it alternates between the first holder of the owner and the second of the next owner: of 25 rounds in the trace none asked the next owner's dispatcher again. The redirect was forgotten before the next owner's backup had been asked.

Now the choice between the two holders belongs to a destination; another one begins with its first. A redirect is forgotten once both holders of the next owner have refused. At most four attempts come between two waits, as the owner's and the next owner's dispatchers may name each other.

--- a/internal/request/entry/main_test.go
+++ b/internal/request/entry/main_test.go
@@ -174,6 +174,15 @@
 	return append([]sentAttempt(nil), a.sent...)
 }
 
+// vms returns the VMs that were asked, in order.
+func (a *attempts) vms() []string {
+	var vms []string
+	for _, attempt := range a.all() {
+		vms = append(vms, attempt.vm)
+	}
+	return vms
+}
+
 func answered(request *peerv1.Request, body string) (*peerv1.Response, io.ReadCloser, error) {
 	return &peerv1.Response{
 		Id: request.Id, Outcome: outcome.Answered.Wire(), Status: 200,
--- a/internal/request/entry/retry.go
+++ b/internal/request/entry/retry.go
@@ -24,6 +24,9 @@
 	// repairDelayMin and repairDelayMax bound the delay between its attempts.
 	repairDelayMin = 10 * time.Millisecond
 	repairDelayMax = 80 * time.Millisecond
+	// maxAttemptsARound bounds the attempts between two waits of a repair: both holders
+	// of the owner and of the next owner.
+	maxAttemptsARound = 4
 )
 
 // run sends the request until it is answered, its outcome is unknown, or
@@ -53,6 +56,9 @@
 	if !ok {
 		return d, notRun(outcome.NoRoute)
 	}
+	if first := (holder{d.route.Target, d.vm}); first != history.first {
+		history.first, history.useOther = first, false
+	}
 	if history.useOther && d.other != "" {
 		d.vm, d.other = d.other, d.vm
 	}
@@ -79,8 +85,8 @@
 		x.logEvent(events.RequestRedirected, r.reason)
 		return history.redirects <= maxRedirectsFollowed
 	}
-	if d.by == byRedirect && r.reason == outcome.NotOwner {
-		// The next owner has lost the key as well; the record or its dispatcher knows more.
+	if d.by == byRedirect && r.reason == outcome.NotOwner && (history.useOther || d.other == "") {
+		// Neither holder of the next owner has the key; the record or its dispatcher knows more.
 		x.handler.redirects.forget(x.params.key, d.route.Cell, d.route.Fence)
 	}
 	if x.free() && d.route.Target != "" {
@@ -116,10 +122,10 @@
 	return true
 }
 
-// repair waits while a key's dispatcher or owner is being replaced. The target's
-// other holder is tried at once; only then does each round wait. Attempts that
-// find nobody cost a refusal each, and their number at once is bounded per
-// service.
+// repair waits while a key's dispatcher or owner is being replaced. A round asks the
+// holders of the owner, and of the next owner if a redirect names one, without a pause;
+// then it waits. Attempts that find nobody cost a refusal each, and the number of
+// requests in repair is bounded per service.
 func (x *exchange) repair(history *history, d destination, r result) bool {
 	if history.repairUntil.IsZero() {
 		if !x.state.beginRepairWait() {
@@ -133,7 +139,7 @@
 	}
 	if !x.alternative(history, d) {
 		history.repairs++
-		history.redirects = 0
+		history.redirects, history.attempts = 0, 0
 		if !x.wait(delayWithJitter(repairDelayMin, repairDelayMax, history.repairs)) {
 			return false
 		}
@@ -146,8 +152,9 @@
 // not, the next round begins anew.
 func (x *exchange) alternative(history *history, d destination) bool {
 	if !x.free() {
+		history.attempts++
 		history.useOther = !history.useOther && d.other != ""
-		return history.useOther
+		return history.useOther && history.attempts < maxAttemptsARound
 	}
 	if len(history.targets) < len(x.candidates()) {
 		return true
