Order redirects by the epoch of the dispatcher besides the fence

Cause: a redirect to the next owner names its dispatcher by the record of the VM that released the key. If the right to dispatch to the next owner passes on at the same time, that dispatcher answers with a redirect of its own. It has the same fence, so entries took it for one that they had followed already, and the record's newer dispatcher was not looked at either. The request waited until the record showed the move.

Change: a redirect carries the epoch at which its VM dispatches to the target. Entries order redirects by fence and then epoch, ask the record's dispatcher of the next owner if its epoch is later, and a dispatcher that knows several redirects of a key answers with the newest. Redirects of an earlier version have epoch 0 and are taken as before.

--- a/internal/process/ownership/basic_test.go
+++ b/internal/process/ownership/basic_test.go
@@ -124,6 +124,35 @@
 	assert.Assert(t, w.record.cell.Targets[0].Previous == nil)
 }
 
+// TestHandoverRedirectsAtALaterEpoch: entries follow the redirect of a dispatcher that has handed
+// its right over, since its epoch is later than that of the move which led to it.
+func TestHandoverRedirectsAtALaterEpoch(t *testing.T) {
+	w := settled(t, quiet())
+	key := w.keys[slices.IndexFunc(w.keys, func(k sampleKey) bool { return w.record.cell.Find(k.key, k.hash).Owner == "t0" })]
+	moved := w.record.cell.Clone()
+	moved.Find(key.key, key.hash).Moving = true
+	w.record.write(w.record.version, moved)
+	w.runFor(100 * time.Millisecond)
+	mover := w.node("vm0")
+	mover.adoptsNothing = true
+	w.runFor(time.Second)
+	changed := w.record.cell.Clone()
+	r := changed.RightsOf("t1")
+	previous := r.Partners
+	r.Previous, r.PreviousEpoch, r.Epoch = &previous, 1, 2
+	r.Partners.Dispatcher, r.Partners.Witness = previous.Witness, previous.Dispatcher
+	w.record.write(w.record.version, changed)
+	w.runFor(time.Second)
+	requireServed(t, w)
+	first := mover.table.FindRedirect(w.record.cell.ID, key.key, key.hash)
+	second := w.node(previous.Dispatcher.VM).table.FindRedirect(w.record.cell.ID, key.key, key.hash)
+	assert.Assert(t, first != nil && second != nil)
+	assert.Equal(t, first.Dispatcher, previous.Dispatcher.VM)
+	assert.Equal(t, second.Dispatcher, previous.Witness.VM)
+	assert.Equal(t, first.Fence, second.Fence)
+	assert.Equal(t, first.Epoch+1, second.Epoch)
+}
+
 func TestLongRequestPostponesAMove(t *testing.T) {
 	w := settled(t, quiet())
 	next := w.record.cell.Clone()
--- a/internal/process/ownership/publish.go
+++ b/internal/process/ownership/publish.go
@@ -15,8 +15,10 @@
 type formerRight struct {
 	cell   string
 	pieces []piece
-	next   string
-	until  time.Duration
+	// next dispatches to the target at epoch.
+	next  string
+	epoch uint64
+	until time.Duration
 }
 
 // publishIfChanged gives the traffic side a new table.
@@ -50,13 +52,14 @@
 // remember keeps pointing to the next dispatcher of a target.
 func (m *machine) remember(t *tenure) {
 	m.former[t.target] = &formerRight{
-		cell: t.cell, pieces: t.grants.desired, next: t.handover.next.Dispatcher.VM, until: m.now + redirectDuration,
+		cell: t.cell, pieces: t.grants.desired, until: m.now + redirectDuration,
+		next: t.handover.next.Dispatcher.VM, epoch: t.handover.next.Epoch,
 	}
 }
 
 func (f *formerRight) publish(table *rights.Table, target string) {
 	for _, p := range f.pieces {
-		redirect := rights.Redirect{Slice: p.slice, Target: target, Dispatcher: f.next, Fence: p.fence}
+		redirect := rights.Redirect{Slice: p.slice, Target: target, Dispatcher: f.next, Fence: p.fence, Epoch: f.epoch}
 		table.Redirects[f.cell] = append(table.Redirects[f.cell], redirect)
 	}
 }
@@ -140,7 +143,7 @@
 // publishRedirects tells where released slices are served now.
 func (m *machine) publishRedirects(table *rights.Table, t *tenure) {
 	if t.phase == passing && !m.isSelf(t.handover.next.Dispatcher) {
-		former := formerRight{cell: t.cell, pieces: t.grants.desired, next: t.handover.next.Dispatcher.VM}
+		former := formerRight{cell: t.cell, pieces: t.grants.desired, next: t.handover.next.Dispatcher.VM, epoch: t.handover.next.Epoch}
 		former.publish(table, t.target)
 	}
 	for _, p := range t.releases {
@@ -148,7 +151,7 @@
 		if !p.kept || next == nil || !p.accepted && p.refusal == "" && m.now < t.pauseUntil {
 			continue
 		}
-		redirect := rights.Redirect{Slice: *sliceOf(p.message.Slice), Target: p.message.Next, Dispatcher: next.Dispatcher.VM, Fence: p.message.NextFence}
+		redirect := rights.Redirect{Slice: *sliceOf(p.message.Slice), Target: p.message.Next, Dispatcher: next.Dispatcher.VM, Fence: p.message.NextFence, Epoch: next.Epoch}
 		table.Redirects[t.cell] = append(table.Redirects[t.cell], redirect)
 	}
 }
--- a/internal/request/dispatch/permit.go
+++ b/internal/request/dispatch/permit.go
@@ -78,7 +78,7 @@
 		return &refusal{reason: outcome.NotOwner}
 	}
 	return &refusal{reason: outcome.NotOwner, redirect: &peerv1.Redirect{
-		Cell: request.Cell, Target: found.Target, Dispatcher: found.Dispatcher, Fence: found.Fence,
+		Cell: request.Cell, Target: found.Target, Dispatcher: found.Dispatcher, Fence: found.Fence, Epoch: found.Epoch,
 	}}
 }
 
--- a/internal/request/dispatch/serve_test.go
+++ b/internal/request/dispatch/serve_test.go
@@ -148,7 +148,7 @@
 	done := make(chan *reply, 1)
 	go func() { done <- f.serve(f.request(nil)) }()
 	time.Sleep(20 * time.Millisecond)
-	released := rights.Redirect{Slice: wholeRange().Slice, Target: "target-2", Dispatcher: "vm-9", Fence: 7}
+	released := rights.Redirect{Slice: wholeRange().Slice, Target: "target-2", Dispatcher: "vm-9", Fence: 7, Epoch: 3}
 	f.table.Store(&rights.Table{
 		Targets:   map[string]*rights.Target{testTarget: {Name: testTarget, Cell: testCell, Lease: f.lease}},
 		Redirects: map[string][]rights.Redirect{testCell: {released}},
@@ -159,6 +159,7 @@
 	assert.Equal(t, got.Redirect.GetDispatcher(), "vm-9")
 	assert.Equal(t, got.Redirect.GetTarget(), "target-2")
 	assert.Equal(t, got.Redirect.GetFence(), uint64(7))
+	assert.Equal(t, got.Redirect.GetEpoch(), uint64(3))
 	assert.Equal(t, len(server.Record().Executions), 0)
 }
 
--- a/internal/request/entry/destination.go
+++ b/internal/request/entry/destination.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/outcome"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/manifest"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/routing"
@@ -42,7 +43,7 @@
 		return destination{}, false
 	}
 	if redirect := x.handler.redirects.overlay(x.params.key, &route); redirect != nil {
-		return x.redirected(route, redirect.Target, redirect.Dispatcher, redirect.Fence), true
+		return x.redirected(route, redirect), true
 	}
 	if !ok {
 		return destination{}, false
@@ -52,13 +53,20 @@
 	return d, true
 }
 
-// redirected returns the destination that a redirect names.
-func (x *exchange) redirected(route routing.Route, target, vm string, fence uint64) destination {
-	d := destination{route: route, vm: vm, by: byRedirect}
-	d.route.Target, d.route.Fence = target, fence
+// term returns how new the knowledge is by which the destination was chosen.
+func (d *destination) term() term { return term{d.route.Fence, d.route.Epoch} }
+
+// redirected returns the destination that a redirect names. The target's dispatcher is
+// that of the record if it is a later one: the sender of a redirect may have an older record.
+func (x *exchange) redirected(route routing.Route, redirect *peerv1.Redirect) destination {
+	d := destination{route: route, vm: redirect.Dispatcher, by: byRedirect}
+	d.route.Target, d.route.Fence, d.route.Epoch = redirect.Target, redirect.Fence, redirect.Epoch
 	if cell := x.cell(route.Cell); cell != nil {
-		if named, ok := cell.RouteTo(target); ok {
-			d.other = otherHolder(named, vm)
+		if named, ok := cell.RouteTo(redirect.Target); ok {
+			if named.Epoch > redirect.Epoch && redirect.Epoch != 0 {
+				d.vm, d.route.Epoch = named.Dispatcher.VM, named.Epoch
+			}
+			d.other = otherHolder(named, d.vm)
 		}
 	}
 	return d
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -199,9 +199,9 @@
 	retryAfter time.Duration
 	// answer is the target's answer; nil unless kind is Answered.
 	answer *answer
-	// redirectFence is the fence at which a dispatcher released the key to the one
-	// that it names; 0 if it names none.
-	redirectFence uint64
+	// redirect is the term of the dispatcher that the refusing one names; zero if it
+	// names none.
+	redirect term
 }
 
 func notRun(reason outcome.Reason) result { return result{kind: outcome.NotRun, reason: reason} }
--- a/internal/request/entry/retry_test.go
+++ b/internal/request/entry/retry_test.go
@@ -175,6 +175,48 @@
 	assert.Assert(t, len(sent) < 40, "%d attempts", len(sent))
 }
 
+// TestHandoverDuringAMoveIsFollowed guards against a redirect to a next owner's dispatcher that has
+// just handed its right over: its own redirect has the same fence and a later epoch.
+func TestHandoverDuringAMoveIsFollowed(t *testing.T) {
+	var tried attempts
+	b := newBench(t, senderFunc(func(_ context.Context, vm string, request *peerv1.Request, _ io.Reader) (*peerv1.Response, io.ReadCloser, error) {
+		tried.add(vm, request)
+		if vm == "vm8" {
+			return answered(request, "")
+		}
+		response, body, err := refused(request, outcome.NotOwner)
+		response.Redirect = &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6, Epoch: 1}
+		if vm == "vm9" {
+			response.Redirect.Dispatcher, response.Redirect.Epoch = "vm8", 2
+		}
+		return response, body, err
+	}), bookingService())
+	for range 2 {
+		assert.Equal(t, b.send(t, "POST", "/booking", nil, nil).outcome(), "answered")
+	}
+	assert.DeepEqual(t, tried.vms(), []string{"vm1", "vm9", "vm8", "vm8"})
+}
+
+// TestRecordNamesTheDispatcherOfANextOwner guards against a redirect of a VM whose record is older
+// than the entry's: the next owner's dispatcher has changed since.
+func TestRecordNamesTheDispatcherOfANextOwner(t *testing.T) {
+	var tried attempts
+	b := newBench(t, senderFunc(func(_ context.Context, vm string, request *peerv1.Request, _ io.Reader) (*peerv1.Response, io.ReadCloser, error) {
+		tried.add(vm, request)
+		if vm == "vm2" && request.Target == "booking-t2" {
+			return answered(request, "")
+		}
+		response, body, err := refused(request, outcome.NotOwner)
+		response.Redirect = &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6, Epoch: 1}
+		return response, body, err
+	}), bookingService())
+	newer := snapshotOf(2, bookingService())
+	newer.Services["booking"].Cells[0].Assignment.Targets[1].Epoch = 2
+	b.snapshot.Store(newer)
+	assert.Equal(t, b.send(t, "POST", "/booking", nil, nil).outcome(), "answered")
+	assert.DeepEqual(t, tried.vms(), []string{"vm1", "vm2"})
+}
+
 // TestNextOwnersDispatcherIsAskedAgain guards against a request that asks only the next owner's
 // backup once its dispatcher has refused it, here while the release is on its way.
 func TestNextOwnersDispatcherIsAskedAgain(t *testing.T) {
--- a/internal/version/rights/rights.go
+++ b/internal/version/rights/rights.go
@@ -45,12 +45,21 @@
 	Paused bool
 }
 
-// Redirect names the next owner of a released slice.
+// Redirect names who serves a slice that this VM has passed on: the next owner of a
+// released one, or the next dispatcher of the same owner.
 type Redirect struct {
-	Slice      assignment.Slice
-	Target     string
+	Slice  assignment.Slice
+	Target string
+	// Dispatcher dispatches to the target at Epoch.
 	Dispatcher string
 	Fence      uint64
+	Epoch      uint64
+}
+
+// newerThan reports whether a redirect names a later owner than another, or a later
+// dispatcher of the same one.
+func (r *Redirect) newerThan(other *Redirect) bool {
+	return r.Fence > other.Fence || r.Fence == other.Fence && r.Epoch > other.Epoch
 }
 
 // Lease is the end of a dispatch right on the monotonic clock of this process.
@@ -108,13 +117,15 @@
 	return found
 }
 
-// FindRedirect returns who serves a released key of a cell now, or nil.
+// FindRedirect returns the newest redirect of a key of a cell, or nil.
 func (t *Table) FindRedirect(cell, key string, hash uint64) *Redirect {
+	var newest *Redirect
 	redirects := t.Redirects[cell]
 	for i := range redirects {
-		if redirects[i].Slice.Contains(key, hash) {
-			return &redirects[i]
+		r := &redirects[i]
+		if r.Slice.Contains(key, hash) && (newest == nil || r.newerThan(newest)) {
+			newest = r
 		}
 	}
-	return nil
+	return newest
 }
--- a/internal/version/rights/rights_test.go
+++ b/internal/version/rights/rights_test.go
@@ -44,3 +44,14 @@
 	assert.Assert(t, table.FindRedirect("slots/0", "any", 11) == nil)
 	assert.Assert(t, table.FindRedirect("slots/1", "any", 10) == nil)
 }
+
+// TestFindRedirectReturnsTheNewest guards against the redirect of an earlier move of a key.
+func TestFindRedirectReturnsTheNewest(t *testing.T) {
+	slice := assignment.Slice{First: 0, Last: 10}
+	table := Table{Redirects: map[string][]Redirect{"slots/0": {
+		{Slice: slice, Target: "slots-2", Dispatcher: "vm-1", Fence: 3, Epoch: 9},
+		{Slice: slice, Target: "slots-3", Dispatcher: "vm-3", Fence: 4, Epoch: 2},
+		{Slice: slice, Target: "slots-3", Dispatcher: "vm-2", Fence: 4, Epoch: 1},
+	}}}
+	assert.Equal(t, table.FindRedirect("slots/0", "any", 5).Dispatcher, "vm-3")
+}
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -57,10 +57,12 @@
 
 // Route says where a request goes.
 type Route struct {
-	Cell       string
-	Version    int64
-	Target     string
-	Fence      uint64
+	Cell    string
+	Version int64
+	Target  string
+	Fence   uint64
+	// Epoch is that at which Dispatcher dispatches to Target.
+	Epoch      uint64
 	Dispatcher assignment.Holder
 	Backup     assignment.Holder
 	// Next is the target that owns the key after Target.
@@ -134,7 +136,7 @@
 		return Route{}, false
 	}
 	return Route{
-		Cell: c.Assignment.ID, Version: c.Version, Target: target,
+		Cell: c.Assignment.ID, Version: c.Version, Target: target, Epoch: rights.Epoch,
 		Dispatcher: rights.Dispatcher, Backup: rights.Backup,
 	}, true
 }
