Let a killed VM of the ownership worlds handle no messages

Cause: the world dropped messages that were under way when a VM was killed, but delivered those sent afterwards, and the dead VM's machine answered them.

The check is not weakened: the same invariants hold over worlds in which killed VMs are dead.

--- a/internal/process/ownership/world_test.go
+++ b/internal/process/ownership/world_test.go
@@ -269,10 +269,10 @@
 	n.world.at(time.Duration(n.world.rng.Int64N(int64(interval))), step)
 }
 
-// deliver runs f on the node, later if it is paused, never if it was restarted.
+// deliver runs f on the node, later if it is paused, never if it was killed or restarted.
 func (n *node) deliver(generation int, f func()) {
 	switch {
-	case n.generation != generation:
+	case n.generation != generation || !n.up:
 	case n.paused:
 		n.backlog = append(n.backlog, f)
 	default:
