Wait for the grants before a handover when a backup takes over after it

Two targets could hold one key: the record names a new dispatcher for an owner, the present one stops and hands over, the new one is lost, and the new one's backup was a partner before, so it keeps the handover from its first moment on. It takes over 400 ms later, while the last grant of the dispatcher before still runs for up to 600 ms, and releases a moving slice at once.

A takeover waits for every lease of the dispatcher it replaces, and so for that one's grants, but not for those made at the epoch before.

Change: a partner notes when it kept a handover. The dispatcher before had stopped by then, so its grants end one lease later, and a takeover at the new epoch counts them as its own until then.

TestTakeoverAfterAHandoverWaitsForEarlierGrants failed before, also on: "targets t0 and t1 both hold a grant for key-in-0".

--- a/internal/process/ownership/basic_test.go
+++ b/internal/process/ownership/basic_test.go
@@ -124,6 +124,37 @@
 	assert.Assert(t, w.record.cell.Targets[0].Previous == nil)
 }
 
+// TestTakeoverAfterAHandoverWaitsForEarlierGrants guards against two owners: the next dispatcher is
+// lost, its backup was a partner before and keeps the handover from its first moment on, and takes
+// over while a grant of the dispatcher before still runs.
+func TestTakeoverAfterAHandoverWaitsForEarlierGrants(t *testing.T) {
+	takeovers := 0
+	for n := range uint64(50) {
+		w := newWorld(seed.Value+n, quiet())
+		w.runFor(3 * time.Second)
+		requireServed(t, w)
+		next := w.record.cell.Clone()
+		next.Slices[0].Moving = true
+		r := &next.Targets[0]
+		previous := r.Partners
+		r.Previous, r.PreviousEpoch, r.Epoch = &previous, 1, 2
+		r.Partners.Dispatcher = w.node("vm3").self()
+		w.node("vm3").kill()
+		w.cut[[2]string{previous.Backup.VM, "t0"}] = true
+		dispatcher := w.node(previous.Dispatcher.VM)
+		dispatcher.adoptsNothing = true
+		w.record.write(w.record.version, next)
+		w.runFor(100 * time.Millisecond)
+		dispatcher.adoptsNothing = false
+		for range 400 {
+			w.runFor(5 * time.Millisecond)
+			assert.DeepEqual(t, w.violations, []string(nil))
+		}
+		takeovers += w.decisions[tookOver]
+	}
+	assert.Assert(t, takeovers > 25, "%d takeovers in 50 worlds", takeovers)
+}
+
 // TestHandoverRedirectsAtALaterEpoch: entries follow the redirect of a dispatcher that has handed
 // its right over, since its epoch is later than that of the move which led to it.
 func TestHandoverRedirectsAtALaterEpoch(t *testing.T) {
--- a/internal/process/ownership/knowledge.go
+++ b/internal/process/ownership/knowledge.go
@@ -2,8 +2,10 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/timing"
 )
 
 // knowledge is what this VM keeps of one target as a partner of its
@@ -12,6 +14,9 @@
 	releases  []*peerv1.Release
 	accepted  []*peerv1.Release
 	handovers []*peerv1.Handover
+	// handoverKept is when the last of the handovers was first kept. The dispatcher before
+	// had stopped by then.
+	handoverKept time.Duration
 }
 
 // handedOn reports whether the right of an epoch was passed on. A nil receiver
@@ -47,6 +52,15 @@
 	return version
 }
 
+// grantsBeforeEnd returns when every grant made before a handover to the epoch has
+// ended, zero if none is kept.
+func (k *knowledge) grantsBeforeEnd(epoch uint64) time.Duration {
+	if !k.handedTo(epoch) {
+		return 0
+	}
+	return k.handoverKept + timing.LeaseDuration
+}
+
 // appendTo adds everything kept to a promise.
 func (k *knowledge) appendTo(promise *peerv1.Promise) {
 	if k == nil {
@@ -126,6 +140,7 @@
 		return
 	}
 	k.handovers = append(k.handovers, h)
+	k.handoverKept = m.now
 	for _, r := range h.Releases {
 		m.keepRelease(h.Target, r)
 	}
--- a/internal/process/ownership/takeover.go
+++ b/internal/process/ownership/takeover.go
@@ -282,6 +282,7 @@
 	t := m.newTenure(g.cell, &assignment.Rights{Target: ref.target, Epoch: ref.epoch, Partners: g.partners})
 	t.acting = true
 	t.grants.setNumber = actingSetNumber
+	t.grants.inheritUntil(known.grantsBeforeEnd(ref.epoch))
 	if known != nil {
 		t.releases = pendingFrom(known.releases)
 		t.accepted = slices.Clone(known.accepted)
