Report a right as arrived only where it was received

Callers of keys on the move waited 0.9 to 2 s in a planned return of a failure domain, at VMs that work and with all of them reachable: the new dispatcher of a target began with a recovery (660 ms and a round of questions) instead of a handover.

Cause, by the events of all VMs: the dispatcher that hands over first has a partner of its epoch keep the handover. That partner reported the right as arrived at the new epoch, the controller cleared `previous`, and a new dispatcher whose record was a little older, as that of a VM that was just named again is, found a record without `previous` before its first usable handover.

Change: only a VM that has received the right reports it. A count of requests in flight from the former dispatcher itself goes before that of a copy.

TestHandoverWaitsForADispatcherWithAnOlderRecord failed before (a recovery, 720 ms). With the link between the two dispatchers cut the handover arrives after 365 ms (TestHandoverReachesADispatcherThroughItsBackup).

--- a/internal/process/ownership/basic_test.go
+++ b/internal/process/ownership/basic_test.go
@@ -155,6 +155,46 @@
 	assert.Assert(t, takeovers > 25, "%d takeovers in 50 worlds", takeovers)
 }
 
+// TestHandoverWaitsForADispatcherWithAnOlderRecord guards against a record that takes a handover for
+// complete while only a partner keeps it: the next dispatcher then begins with a recovery.
+func TestHandoverWaitsForADispatcherWithAnOlderRecord(t *testing.T) {
+	w := settled(t, quiet())
+	next := w.record.cell.Clone()
+	r := &next.Targets[0]
+	previous := r.Partners
+	r.Previous, r.PreviousEpoch, r.Epoch = &previous, 1, 2
+	r.Partners.Dispatcher, r.Partners.Witness = previous.Witness, previous.Dispatcher
+	late := w.node(previous.Witness.VM)
+	late.adoptsNothing = true
+	w.record.write(w.record.version, next)
+	w.runFor(500 * time.Millisecond)
+	late.adoptsNothing = false
+	took := outage(t, w, 2*time.Second)
+	t.Logf("served %v after the dispatcher has the record", took)
+	assert.Equal(t, w.decisions[recoveryBegun], 0)
+	assert.Equal(t, w.decisions[handoverAccepted], 1)
+	assert.Assert(t, took < 500*time.Millisecond)
+}
+
+// TestHandoverReachesADispatcherThroughItsBackup guards against a recovery where only the link
+// between the two dispatchers is cut.
+func TestHandoverReachesADispatcherThroughItsBackup(t *testing.T) {
+	w := settled(t, quiet())
+	next := w.record.cell.Clone()
+	r := &next.Targets[0]
+	previous := r.Partners
+	r.Previous, r.PreviousEpoch, r.Epoch = &previous, 1, 2
+	r.Partners.Dispatcher, r.Partners.Witness = previous.Witness, previous.Dispatcher
+	w.cut[[2]string{previous.Dispatcher.VM, previous.Witness.VM}] = true
+	w.record.write(w.record.version, next)
+	w.runFor(100 * time.Millisecond)
+	took := outage(t, w, 2*time.Second)
+	t.Logf("served after %v", took)
+	assert.Equal(t, w.decisions[recoveryBegun], 0)
+	assert.Equal(t, w.decisions[handoverAccepted], 1)
+	assert.Assert(t, took < time.Second)
+}
+
 // TestHandoverRedirectsAtALaterEpoch: entries follow the redirect of a dispatcher that has handed
 // its right over, since its epoch is later than that of the move which led to it.
 func TestHandoverRedirectsAtALaterEpoch(t *testing.T) {
--- a/internal/process/ownership/handover.go
+++ b/internal/process/ownership/handover.go
@@ -122,7 +122,7 @@
 }
 
 // forwardHandovers passes on the handovers that this VM keeps for a dispatcher
-// that has fallen silent. They are idempotent.
+// that has fallen silent, or accepts them itself. They are idempotent.
 func (m *machine) forwardHandovers() {
 	for _, target := range sortedKeys(m.kept) {
 		r := m.record.rightsOf(target)
@@ -133,6 +133,9 @@
 			if h.NextEpoch != r.Epoch || m.now-m.contactOf(r.Previous.Dispatcher).heard < timing.SuspicionAfter {
 				continue
 			}
+			if m.isSelf(r.Dispatcher) {
+				m.receiveHandover(r.Previous.Dispatcher, h)
+			}
 			message := &peerv1.Control{Kind: &peerv1.Control_Handover{Handover: h}}
 			for _, next := range []assignment.Holder{r.Dispatcher, r.Backup} {
 				if next != m.self && next.VM != "" {
@@ -159,7 +162,10 @@
 		m.acceptHandover(h, r, from)
 		return nil
 	case m.isSelf(r.Backup):
+		// It comes here because the next dispatcher has not answered: the link between
+		// the two dispatchers may be cut.
 		m.keepHandover(h)
+		m.out.send(r.Dispatcher.VM, &peerv1.Control{Kind: &peerv1.Control_Handover{Handover: h}})
 		return handoverAck(h, true)
 	}
 	return handoverAck(h, false)
@@ -168,6 +174,10 @@
 // inherit takes a newer count of the requests that the earlier dispatcher
 // still has in flight.
 func (m *machine) inherit(t *tenure, from assignment.Holder, h *peerv1.Handover) {
+	if r := m.record.rightsOf(t.target); r != nil && r.Previous != nil && r.Previous.Dispatcher == from {
+		// The first copy may have come through the backup, which does not know the count.
+		t.inheritedFrom = from
+	}
 	if t.phase != holding || t.epoch != h.NextEpoch || t.inheritedFrom != from {
 		return
 	}
--- a/internal/process/ownership/report.go
+++ b/internal/process/ownership/report.go
@@ -83,8 +83,9 @@
 	}
 }
 
-// arrived lists the rights that this VM has received, or keeps a handover of,
-// where the record still names previous partners.
+// arrived lists the rights that this VM has received where the record still names
+// previous partners. To keep a handover as a partner is not enough: once the record
+// names no previous partners, a dispatcher without the handover begins with a recovery.
 func (m *machine) arrived(cell string) []*peerv1.TargetEpoch {
 	var arrived []*peerv1.TargetEpoch
 	version, ok := m.record.cells[cell]
@@ -97,8 +98,7 @@
 			continue
 		}
 		t := m.tenures[r.Target]
-		received := t != nil && t.epoch == r.Epoch && (t.phase == holding || t.phase == receiving)
-		if received || m.kept[r.Target].handedTo(r.Epoch) {
+		if t != nil && t.epoch == r.Epoch && (t.phase == holding || t.phase == receiving) {
 			arrived = append(arrived, wireRef(targetEpoch{r.Target, r.Epoch}))
 		}
 	}
