--- a/internal/process/controller/reports.go
+++ b/internal/process/controller/reports.go
@@ -139,7 +139,7 @@
 }
 
 // mergeArrived notes rights that have reached the epoch of the record, be it at
-// the dispatcher or at a partner that can take over.
+// the dispatcher or at a backup that has taken over.
 func (c *cell) mergeArrived(report *peerv1.LoadReport) bool {
 	found := false
 	for _, arrived := range report.Arrived {
