Name the condition that most VMs follow a leader

mayAct, detectSoleLeader and, twice, recoverRecord spelled it out, in two orders. No change of behaviour; go test ./internal/process/coordinator passes.

--- a/internal/process/coordinator/record.go
+++ b/internal/process/coordinator/record.go
@@ -47,7 +47,7 @@
 	}
 	if l.leaseTable.recovering {
 		// The store does not know what leaders of before it was restored have done.
-		return l.otherVoters() == 0 || c.hasMajority()
+		return c.mostFollow()
 	}
 	return now-l.storeConfirmedAt < leaderLease && l.storeConfirmedAt >= l.stalledAt || c.hasMajority()
 }
@@ -66,6 +66,10 @@
 	return l.otherVoters() > 0 && 2*followers > l.otherVoters()+1
 }
 
+// mostFollow reports whether a majority of the VMs follows this leader, or there is no
+// other that could follow one.
+func (c *Coordinator) mostFollow() bool { return c.lead.otherVoters() == 0 || c.hasMajority() }
+
 // leadershipConfirmedAt returns the latest uptime at which this VM is known to have led:
 // the store named no other leader then, or a majority of the VMs followed this one.
 func (c *Coordinator) leadershipConfirmedAt() time.Duration {
@@ -92,7 +96,7 @@
 // from now on, once a majority of the VMs follows this leader or there are no others.
 func (c *Coordinator) detectSoleLeader(now time.Time) {
 	l := c.lead
-	if l.soleLeader || !c.hasMajority() && l.otherVoters() > 0 {
+	if l.soleLeader || !c.mostFollow() {
 		return
 	}
 	l.soleLeader = true
--- a/internal/process/coordinator/restored.go
+++ b/internal/process/coordinator/restored.go
@@ -69,7 +69,7 @@
 // recoverRecord writes the leader's record again after the store has been restored.
 func (c *Coordinator) recoverRecord() {
 	l := c.lead
-	if l.otherVoters() > 0 && !c.hasMajority() {
+	if !c.mostFollow() {
 		c.stepDown("the store has been restored and most VMs may follow another leader")
 		return
 	}
@@ -88,7 +88,7 @@
 				l.renewRecordAt = time.Now().Add(recordRenewRetry)
 			case found.Term > l.record.Term, found.Era != "" && !c.ofPastEra(found, version):
 				c.stepDown("another VM has taken over since the store was restored")
-			case l.otherVoters() > 0 && !c.hasMajority():
+			case !c.mostFollow():
 				c.stepDown("the store has been restored and most VMs may follow another leader")
 			default:
 				c.writeRecovery(version, l.record.Term)
