--- a/internal/process/coordinator/world_test.go
+++ b/internal/process/coordinator/world_test.go
@@ -524,7 +524,7 @@
 	if past := s.node.eras.AfterRead(store.Absent, era); past != nil {
 		return store.Object{}, past
 	}
-	o.Version = s.node.eras.Version(era, o.Version)
+	o.Version = store.VersionOf(era, o.Version)
 	return o, err
 }
 
@@ -553,7 +553,7 @@
 	takes := w.storeAnswerDelays[s.node.name]
 	w.mu.Unlock()
 	time.Sleep(takes)
-	return s.node.eras.Version(era, version), s.node.eras.AfterWrite(expected, era, err)
+	return store.VersionOf(era, version), s.node.eras.AfterWrite(expected, era, err)
 }
 
 func (s nodeStore) Delete(ctx context.Context, name string, expected int64) error {
@@ -574,13 +574,13 @@
 	time.Sleep(takes)
 	memory, era := s.instance()
 	objects, version, err := memory.List(ctx, prefix)
-	return s.ofEra(era, objects), s.node.eras.Version(era, version), cmp.Or(s.node.eras.AfterRead(store.Absent, era), err)
+	return s.ofEra(era, objects), store.VersionOf(era, version), cmp.Or(s.node.eras.AfterRead(store.Absent, era), err)
 }
 
 // ofEra sets the versions of objects to those of an era.
 func (s nodeStore) ofEra(era int64, objects []store.Object) []store.Object {
 	for i := range objects {
-		objects[i].Version = s.node.eras.Version(era, objects[i].Version)
+		objects[i].Version = store.VersionOf(era, objects[i].Version)
 	}
 	return objects
 }
@@ -599,7 +599,7 @@
 	}
 	// Whoever serves the store when the poll ends answers it.
 	_, era := s.instance()
-	return s.ofEra(era, objects), s.node.eras.Version(era, next), cmp.Or(s.node.eras.AfterRead(after, era), err)
+	return s.ofEra(era, objects), store.VersionOf(era, next), cmp.Or(s.node.eras.AfterRead(after, era), err)
 }
 
 // chance returns true with a probability.
--- a/internal/process/observer/restored_test.go
+++ b/internal/process/observer/restored_test.go
@@ -41,7 +41,7 @@
 
 func (s *restorableStore) versions(era int64, objects []store.Object) []store.Object {
 	for i := range objects {
-		objects[i].Version = s.eras.Version(era, objects[i].Version)
+		objects[i].Version = store.VersionOf(era, objects[i].Version)
 	}
 	return objects
 }
@@ -49,7 +49,7 @@
 func (s *restorableStore) List(ctx context.Context, prefix string) ([]store.Object, int64, error) {
 	memory, era := s.instance()
 	objects, version, err := memory.List(ctx, prefix)
-	return s.versions(era, objects), s.eras.Version(era, version), err
+	return s.versions(era, objects), store.VersionOf(era, version), err
 }
 
 func (s *restorableStore) Watch(ctx context.Context, prefix string, after int64) ([]store.Object, int64, error) {
@@ -60,7 +60,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
 	defer cancel()
 	objects, version, err := memory.Watch(ctx, prefix, store.Revision(after))
-	return s.versions(era, objects), s.eras.Version(era, version), err
+	return s.versions(era, objects), store.VersionOf(era, version), err
 }
 
 // write writes the state of an entry: a target's "in" or "out", with its start in Unix
--- a/internal/process/store/eras.go
+++ b/internal/process/store/eras.go
@@ -81,8 +81,8 @@
 	return e.names[number]
 }
 
-// Version returns the version for a revision in an answer of the era with a number.
-func (e *Eras) Version(number, revision int64) int64 { return number<<revisionBits | revision }
+// VersionOf returns the version for a revision in an answer of the era with a number.
+func VersionOf(era, revision int64) int64 { return era<<revisionBits | revision }
 
 // BeforeCall returns an error if a call that names a version must not be made, because the
 // version is of a past era.
