Count the leaving of a target from its declaration, over changes of its dispatcher

A target that is to take no new work still serves keys whose slices have not moved, for 2 s. Each dispatcher counted them from its own first look, so a target whose right passed on during an exit got another 2 s, and began requests after the 3 s in which an exit has to be over.

Found while a failure of TestExitOfAFailureDomain/frozen_controller was looked into (KNOWN-RED, seldom: 5 executions up to 3.15 s after the exit): there the frozen controller's targets are taken over and change partners within the first seconds.

Change: every VM notes when it read that a target is leaving, and the dispatcher counts from there, whoever dispatched to the target then.

--- a/internal/process/ownership/basic_test.go
+++ b/internal/process/ownership/basic_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -224,6 +225,28 @@
 	assert.Equal(t, first.Epoch+1, second.Epoch)
 }
 
+// TestLeavingIsCountedOverATakeover guards against new work for a leaving target at its next
+// dispatcher after the time in which its slices move has ended at the one before.
+func TestLeavingIsCountedOverATakeover(t *testing.T) {
+	w := settled(t, quiet())
+	leaving := maps.Clone(w.info)
+	info := leaving["t0"]
+	info.leaving = true
+	leaving["t0"] = info
+	w.info = leaving
+	w.runFor(100 * time.Millisecond)
+	declared := w.node("vm1").clock()
+	w.storeDown = true
+	w.runFor(time.Second)
+	w.node("vm0").kill()
+	for w.decisions[tookOver] == 0 {
+		w.runFor(5 * time.Millisecond)
+	}
+	published := w.node("vm1").table.Targets["t0"]
+	assert.Assert(t, published != nil && published.Leaving)
+	assert.Assert(t, published.LeavingSince <= declared, "since %v, declared at %v", published.LeavingSince, declared)
+}
+
 func TestLongRequestPostponesAMove(t *testing.T) {
 	w := settled(t, quiet())
 	next := w.record.cell.Clone()
--- a/internal/process/ownership/machine.go
+++ b/internal/process/ownership/machine.go
@@ -58,6 +58,8 @@
 	now  time.Duration
 
 	record recordView
+	// leavingSince is when this VM first read of the present leaving of a target.
+	leavingSince map[string]time.Duration
 	// tenures are the targets that this VM dispatches to or is about to.
 	tenures map[string]*tenure
 	// passed holds the highest epoch, by target, that this VM has handed over.
@@ -89,17 +91,18 @@
 func newMachine(self assignment.Holder, out output, in traffic) *machine {
 	return &machine{
 		self: self, out: out, in: in,
-		record:      newRecordView(),
-		tenures:     map[string]*tenure{},
-		passed:      map[string]uint64{},
-		former:      map[string]*formerRight{},
-		guards:      map[targetEpoch]*guard{},
-		bars:        map[targetEpoch]*bar{},
-		retractions: map[targetEpoch]*peerv1.Control{},
-		collections: map[targetEpoch]*collection{},
-		contacts:    map[assignment.Holder]*contact{},
-		kept:        map[string]*knowledge{},
-		heartbeats:  map[uint64]*sentHeartbeat{},
+		record:       newRecordView(),
+		leavingSince: map[string]time.Duration{},
+		tenures:      map[string]*tenure{},
+		passed:       map[string]uint64{},
+		former:       map[string]*formerRight{},
+		guards:       map[targetEpoch]*guard{},
+		bars:         map[targetEpoch]*bar{},
+		retractions:  map[targetEpoch]*peerv1.Control{},
+		collections:  map[targetEpoch]*collection{},
+		contacts:     map[assignment.Holder]*contact{},
+		kept:         map[string]*knowledge{},
+		heartbeats:   map[uint64]*sentHeartbeat{},
 	}
 }
 
--- a/internal/process/ownership/publish.go
+++ b/internal/process/ownership/publish.go
@@ -77,7 +77,7 @@
 	}
 	published := &rights.Target{
 		Name: t.target, Cell: t.cell, Epoch: t.epoch, Lease: t.lease,
-		Free: info.free, Leaving: info.leaving,
+		Free: info.free, Leaving: info.leaving, LeavingSince: m.leavingSince[t.target],
 	}
 	if !usable {
 		// Requests are held, not sent: after a recovery the lease of the
--- a/internal/process/ownership/record.go
+++ b/internal/process/ownership/record.go
@@ -79,6 +79,7 @@
 	m.now = now
 	m.record.seen = true
 	m.record.targets = targets
+	m.noteLeaving()
 	for id, incoming := range cells {
 		if known, ok := m.record.cells[id]; ok && known.version >= incoming.version {
 			continue
@@ -94,6 +95,21 @@
 	m.advance()
 }
 
+// noteLeaving notes since when targets are leaving. The time does not begin anew when the
+// right to dispatch to a target passes on.
+func (m *machine) noteLeaving() {
+	for target := range m.leavingSince {
+		if !m.record.targets[target].leaving {
+			delete(m.leavingSince, target)
+		}
+	}
+	for target, info := range m.record.targets {
+		if _, known := m.leavingSince[target]; info.leaving && !known {
+			m.leavingSince[target] = m.now
+		}
+	}
+}
+
 // adoptRights compares the tenures and guards of this VM with the record.
 func (m *machine) adoptRights() {
 	for _, t := range m.sortedTenures() {
--- a/internal/request/dispatch/endpoint.go
+++ b/internal/request/dispatch/endpoint.go
@@ -55,12 +55,11 @@
 	// incarnation is the target's incarnation as last seen, "" if it tells none.
 	incarnation string
 	// lostSeen is the pool's count of connections lost while idle.
-	lostSeen     int
-	alive        bool
-	straggling   bool
-	leavingSince time.Time
-	createdAt    time.Time
-	hadRights    bool
+	lostSeen   int
+	alive      bool
+	straggling bool
+	createdAt  time.Time
+	hadRights  bool
 	// inherited is set by the first StartWith.
 	inherited bool
 	closed    bool
--- a/internal/request/dispatch/housekeeping.go
+++ b/internal/request/dispatch/housekeeping.go
@@ -59,7 +59,6 @@
 	}
 	e.check(now, slices)
 	if held {
-		e.refusesLeaving(table.Targets[e.name].Leaving, now)
 		e.connections().Warm(e.warmConnections())
 	}
 }
--- a/internal/request/dispatch/permit.go
+++ b/internal/request/dispatch/permit.go
@@ -131,17 +131,7 @@
 	return assignment.HashKey(request.Key)
 }
 
-// refusesLeaving reports whether a leaving target has had its time to pass its
-// slices on and takes nothing new.
-func (e *endpoint) refusesLeaving(leaving bool, now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !leaving {
-		e.leavingSince = time.Time{}
-		return false
-	}
-	if e.leavingSince.IsZero() {
-		e.leavingSince = now
-	}
-	return now.Sub(e.leavingSince) >= drainGrace
+// takesNothingNew reports whether a leaving target has had its time to pass its slices on.
+func takesNothingNew(t *rights.Target) bool {
+	return t.Leaving && rights.Monotonic()-t.LeavingSince >= drainGrace
 }
--- a/internal/request/dispatch/serve.go
+++ b/internal/request/dispatch/serve.go
@@ -102,7 +102,7 @@
 		e.release(t)
 		return refused(r), r == nil
 	}
-	if e.refusesLeaving(p.target.Leaving, time.Now()) {
+	if takesNothingNew(p.target) {
 		exchange.Return()
 		e.release(t)
 		return refused(&refusal{reason: outcome.Draining}), false
--- a/internal/request/dispatch/serve_test.go
+++ b/internal/request/dispatch/serve_test.go
@@ -296,7 +296,7 @@
 	f := newFixture(t, server.Address(), nil)
 	f.warm(4)
 	server.Change(func(s *faketarget.Settings) { s.Leaving = true })
-	f.hold(func(held *rights.Target) { held.Leaving = true })
+	f.hold(func(held *rights.Target) { held.Leaving, held.LeavingSince = true, rights.Monotonic() })
 	var last *reply
 	for end := time.Now().Add(limit + 500*time.Millisecond); time.Now().Before(end); {
 		last = f.serve(f.request(nil))
@@ -308,6 +308,29 @@
 	assert.Assert(t, record.StartsAfterLeaving(0) > 0, "keys must be served while their slices move")
 }
 
+// TestLeavingTargetGetsNoNewWorkAfterAHandover guards against a next dispatcher that gives a
+// leaving target its time anew.
+func TestLeavingTargetGetsNoNewWorkAfterAHandover(t *testing.T) {
+	const limit = 3 * time.Second
+	server := listenTarget(t, faketarget.Settings{ServiceMillis: 5})
+	f := newFixture(t, server.Address(), nil)
+	f.warm(4)
+	server.Change(func(s *faketarget.Settings) { s.Leaving = true })
+	f.hold(func(held *rights.Target) { held.Leaving, held.LeavingSince = true, rights.Monotonic() })
+	handover, end := time.Now().Add(limit/2), time.Now().Add(limit+500*time.Millisecond)
+	for time.Now().Before(handover) {
+		f.serve(f.request(nil))
+	}
+	f.dispatcher = f.newDispatcher()
+	var last *reply
+	for time.Now().Before(end) {
+		last = f.serve(f.request(nil))
+	}
+	assert.Equal(t, last.why(), outcome.Draining)
+	record := server.Record()
+	assert.Equal(t, record.StartsAfterLeaving(limit), 0)
+}
+
 func TestUploadSurvivesTheDrainOfItsTarget(t *testing.T) {
 	server := listenTarget(t, faketarget.Settings{})
 	f := newFixture(t, server.Address(), nil)
--- a/internal/version/rights/rights.go
+++ b/internal/version/rights/rights.go
@@ -30,8 +30,10 @@
 	Lease *Lease
 	// Free is set for targets of freely placed services: every request may go there.
 	Free bool
-	// Leaving is set when the target takes no new work.
-	Leaving bool
+	// Leaving is set when the target is to take no new work. LeavingSince is when this VM
+	// learnt of it, by Monotonic, whoever dispatched to the target then.
+	Leaving      bool
+	LeavingSince time.Duration
 	// Slices are the granted slices, ranges sorted by First, then hot keys.
 	Slices []Held
 }
