Suspect a lost VM until it answers, also once it is nobody's partner

After the loss of a failure domain callers waited up to 1.8 s, and now and then were refused, long after every target had been taken over: the controller named the dead VMs as dispatchers again, several times over 15 to 20 s.

Change: a report whose sender does not watch the VM any more goes on counting for 3 s, and while the VM does not answer the controller's own calls; so does the suspicion of a dispatcher that was superseded. A report of the VM itself, or of a partner that hears it, ends the suspicion as before.

TestDeadVMIsSuspectedAfterItsRightsHavePassedOn failed before (trial: hear as it was).

--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -51,6 +51,9 @@
 	Sender peer.ControlSender
 	// Snapshot returns the present snapshot, nil before the first one.
 	Snapshot func() *routing.Snapshot
+	// IsSilent reports whether a VM did not answer this VM's last call; nil if that is
+	// not known of any.
+	IsSilent func(vm string) bool
 	Logger   zerolog.Logger
 	// Metrics may be nil.
 	Metrics tally.Scope
@@ -80,6 +83,9 @@
 	if config.Policy == (placement.Policy{}) {
 		config.Policy = placement.DefaultPolicy()
 	}
+	if config.IsSilent == nil {
+		config.IsSilent = func(string) bool { return false }
+	}
 	config.Metrics = config.Metrics.SubScope("placement")
 	return &Controller{config: config, cells: map[string]*cell{}, ctx: context.Background(), now: time.Now}
 }
--- a/internal/process/controller/losses.go
+++ b/internal/process/controller/losses.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/process/events"
@@ -17,10 +18,14 @@
 const (
 	// silenceFresh is how long a report of a silent VM counts.
 	silenceFresh = 8 * time.Second
+	// formerFresh is how long a report counts whose sender is no partner of the VM any
+	// more. By then this VM has asked it itself.
+	formerFresh = 3 * time.Second
 	// heardFresh is how long a VM's own report counts against one that calls it
 	// silent; VMs report every 5 s at least.
 	heardFresh = 6 * time.Second
-	// takeoverFresh is how long a superseded dispatcher is given no rights.
+	// takeoverFresh is how long a superseded dispatcher is given no rights, if it answers
+	// this VM.
 	takeoverFresh = 10 * time.Second
 	// platformCheck is the interval between looks at the platform's list for
 	// one suspected VM.
@@ -40,13 +45,24 @@
 // it takes a restart under another incarnation, or absence from the platform's
 // list while two partners call the VM silent.
 type losses struct {
-	heard     map[assignment.Holder]time.Time
-	silent    map[string]map[string]time.Time
+	// isSilent reports whether a VM did not answer this VM's last call.
+	isSilent func(vm string) bool
+	heard    map[assignment.Holder]time.Time
+	// silent holds, by VM, what others last said of its silence, by reporter.
+	silent    map[string]map[string]silentReport
 	takenOver map[assignment.Holder]time.Time
 	goneSince map[assignment.Holder]time.Time
 	platform  map[string]*platformEntry
 }
 
+// silentReport is the word of one VM that another is silent.
+type silentReport struct {
+	at time.Time
+	// former is set once the reporter does not watch the VM any more. It stops calling
+	// the VM silent then, which is no sign of life.
+	former bool
+}
+
 // platformEntry is what the platform's list says of a suspected VM.
 type platformEntry struct {
 	seenListed  bool
@@ -55,27 +71,42 @@
 	busy        bool
 }
 
-func newLosses() losses {
-	return losses{heard: map[assignment.Holder]time.Time{}, silent: map[string]map[string]time.Time{},
+func newLosses(isSilent func(vm string) bool) losses {
+	return losses{isSilent: isSilent, heard: map[assignment.Holder]time.Time{}, silent: map[string]map[string]silentReport{},
 		takenOver: map[assignment.Holder]time.Time{}, goneSince: map[assignment.Holder]time.Time{},
 		platform: map[string]*platformEntry{}}
 }
 
-// hear notes a sign of life and whom the sender calls silent.
-func (l *losses) hear(from assignment.Holder, silent []string, now time.Time) {
+// hear notes a sign of life and whom the sender calls silent. watches reports whether the
+// record has the sender watch a VM.
+func (l *losses) hear(from assignment.Holder, silent []string, watches func(vm string) bool, now time.Time) {
 	l.heard[from] = now
+	maps.DeleteFunc(l.silent[from.VM], func(_ string, r silentReport) bool { return r.former })
 	for vm, reporters := range l.silent {
-		delete(reporters, from.VM)
+		maps.DeleteFunc(reporters, func(_ string, r silentReport) bool { return !l.counts(vm, r, now) })
+		if report, known := reporters[from.VM]; known && watches(vm) {
+			delete(reporters, from.VM)
+		} else if known {
+			reporters[from.VM] = silentReport{at: report.at, former: true}
+		}
 		if len(reporters) == 0 {
 			delete(l.silent, vm)
 		}
 	}
 	for _, vm := range silent {
 		if l.silent[vm] == nil {
-			l.silent[vm] = map[string]time.Time{}
+			l.silent[vm] = map[string]silentReport{}
 		}
-		l.silent[vm][from.VM] = now
+		l.silent[vm][from.VM] = silentReport{at: now}
+	}
+}
+
+// counts reports whether a report of a VM's silence still counts.
+func (l *losses) counts(vm string, report silentReport, now time.Time) bool {
+	if report.former {
+		return now.Sub(report.at) < formerFresh || l.isSilent(vm)
 	}
+	return now.Sub(report.at) < silenceFresh
 }
 
 // takeOver notes that a dispatcher was superseded.
@@ -84,12 +115,12 @@
 // suspected reports whether a holder should be given no rights.
 func (l *losses) suspected(holder assignment.Holder, now time.Time) bool {
 	heard := l.heard[holder]
-	if at, ok := l.takenOver[holder]; ok && now.Sub(at) < takeoverFresh && heard.Before(at) {
+	if at, ok := l.takenOver[holder]; ok && heard.Before(at) && (now.Sub(at) < takeoverFresh || l.isSilent(holder.VM)) {
 		return true
 	}
 	reporters := 0
-	for _, at := range l.silent[holder.VM] {
-		if now.Sub(at) < silenceFresh {
+	for _, report := range l.silent[holder.VM] {
+		if l.counts(holder.VM, report, now) {
 			reporters++
 		}
 	}
--- a/internal/process/controller/reports.go
+++ b/internal/process/controller/reports.go
@@ -80,7 +80,7 @@
 		return // Relayed or outdated: only what a dispatcher says of itself counts.
 	}
 	now := c.owner.now()
-	c.losses.hear(from, report.Silent, now)
+	c.losses.hear(from, report.Silent, func(vm string) bool { return c.watches(from.VM, vm) }, now)
 	urgent := c.mergeAccepted(report)
 	if c.record != nil {
 		urgent = c.mergeTakeovers(from, report, now) || urgent
@@ -94,6 +94,20 @@
 	}
 }
 
+// watches reports whether the record has a VM tell of another's silence: a dispatcher of
+// its backup's, a backup of its dispatcher's.
+func (c *cell) watches(vm, other string) bool {
+	if c.record == nil {
+		return true
+	}
+	between := func(p *assignment.Partners) bool {
+		return p.Dispatcher.VM == vm && p.Backup.VM == other || p.Backup.VM == vm && p.Dispatcher.VM == other
+	}
+	return slices.ContainsFunc(c.record.Targets, func(r assignment.Rights) bool {
+		return between(&r.Partners) || r.Previous != nil && between(r.Previous)
+	})
+}
+
 // isBehind reports whether a report is of rights that are not in the record here:
 // its sender may read a record before the write of it has returned.
 func (c *cell) isBehind(report *peerv1.LoadReport) bool {
--- a/internal/process/controller/reports_test.go
+++ b/internal/process/controller/reports_test.go
@@ -103,16 +103,49 @@
 	assert.Assert(t, lostTarget.Lost && !lostTarget.Usable())
 }
 
+// anybody is the set of all VMs; nobody is the empty one.
+func anybody(string) bool { return true }
+func nobody(string) bool  { return false }
+
+// TestDeadVMIsSuspectedAfterItsRightsHavePassedOn guards against new rights for a VM that nobody
+// calls silent any more only because it is nobody's partner any more.
+func TestDeadVMIsSuspectedAfterItsRightsHavePassedOn(t *testing.T) {
+	now := time.Unix(100, 0)
+	answers := false
+	l := newLosses(func(string) bool { return !answers })
+	quiet := assignment.Holder{VM: "q", Incarnation: "1"}
+	l.hear(quiet, nil, anybody, now)
+	for _, vm := range []string{"a", "b"} {
+		l.hear(assignment.Holder{VM: vm}, []string{"q"}, anybody, now.Add(time.Second))
+	}
+	for _, vm := range []string{"a", "b"} {
+		l.hear(assignment.Holder{VM: vm}, nil, nobody, now.Add(2*time.Second))
+	}
+	assert.Assert(t, l.suspected(quiet, now.Add(2*time.Second)))
+	assert.Assert(t, l.suspected(quiet, now.Add(time.Minute)), "it has not answered")
+	answers = true
+	assert.Assert(t, !l.suspected(quiet, now.Add(time.Minute)))
+	answers = false
+	l.hear(quiet, nil, anybody, now.Add(time.Minute))
+	assert.Assert(t, !l.suspected(quiet, now.Add(time.Minute)), "it has reported itself")
+
+	superseded := assignment.Holder{VM: "s", Incarnation: "1"}
+	l.takeOver(superseded, now)
+	assert.Assert(t, l.suspected(superseded, now.Add(time.Minute)), "it has not answered")
+	answers = true
+	assert.Assert(t, !l.suspected(superseded, now.Add(time.Minute)))
+}
+
 func TestSilenceNeedsTwoReportersOrSilenceTowardsTheController(t *testing.T) {
 	now := time.Unix(100, 0)
-	l := newLosses()
+	l := newLosses(nobody)
 	quiet := assignment.Holder{VM: "q", Incarnation: "1"}
-	l.hear(quiet, nil, now)
-	l.hear(assignment.Holder{VM: "a"}, []string{"q"}, now.Add(time.Second))
+	l.hear(quiet, nil, anybody, now)
+	l.hear(assignment.Holder{VM: "a"}, []string{"q"}, anybody, now.Add(time.Second))
 	assert.Assert(t, !l.suspected(quiet, now.Add(time.Second)), "one link may be cut")
-	l.hear(assignment.Holder{VM: "b"}, []string{"q"}, now.Add(time.Second))
+	l.hear(assignment.Holder{VM: "b"}, []string{"q"}, anybody, now.Add(time.Second))
 	assert.Assert(t, l.suspected(quiet, now.Add(time.Second)))
-	l.hear(assignment.Holder{VM: "b"}, nil, now.Add(2*time.Second))
+	l.hear(assignment.Holder{VM: "b"}, nil, anybody, now.Add(2*time.Second))
 	assert.Assert(t, !l.suspected(quiet, now.Add(2*time.Second)))
 	assert.Assert(t, l.suspected(quiet, now.Add(heardFresh+time.Second)), "it has not reported itself either")
 }
