Suspect a VM that neither reports nor answers

Cause: a controller that has just taken over plans before the others have told of every silence.

Change: a VM whose reports have not arrived for 6 s, or never, and that does not answer this VM's own calls is suspected. This also covers a dead VM whose former partners' word has run out, so those words need not be prolonged. A VM without rights does not report, but answers; one whose link to the controller is cut one way is heard, or answers.

TestNewControllerSuspectsWhoNeitherReportsNorAnswers failed before.

--- a/internal/process/controller/losses.go
+++ b/internal/process/controller/losses.go
@@ -18,14 +18,11 @@
 const (
 	// silenceFresh is how long a report of a silent VM counts.
 	silenceFresh = 8 * time.Second
-	// formerFresh is how long a report counts whose sender is no partner of the VM any
-	// more. By then this VM has asked it itself.
-	formerFresh = 3 * time.Second
 	// heardFresh is how long a VM's own report counts against one that calls it
-	// silent; VMs report every 5 s at least.
+	// silent, and against calls that it does not answer; VMs with rights report every
+	// 5 s at least.
 	heardFresh = 6 * time.Second
-	// takeoverFresh is how long a superseded dispatcher is given no rights, if it answers
-	// this VM.
+	// takeoverFresh is how long a superseded dispatcher is given no rights.
 	takeoverFresh = 10 * time.Second
 	// platformCheck is the interval between looks at the platform's list for
 	// one suspected VM.
@@ -43,7 +40,7 @@
 // A suspicion costs a change of partners at most, since whoever is suspected
 // wrongly hands over. Being gone lets a target start anew without a handover;
 // it takes a restart under another incarnation, or absence from the platform's
-// list while two partners call the VM silent.
+// list while two of the three partners are suspected.
 type losses struct {
 	// isSilent reports whether a VM did not answer this VM's last call.
 	isSilent func(vm string) bool
@@ -83,7 +80,7 @@
 	l.heard[from] = now
 	maps.DeleteFunc(l.silent[from.VM], func(_ string, r silentReport) bool { return r.former })
 	for vm, reporters := range l.silent {
-		maps.DeleteFunc(reporters, func(_ string, r silentReport) bool { return !l.counts(vm, r, now) })
+		maps.DeleteFunc(reporters, func(_ string, r silentReport) bool { return !r.counts(now) })
 		if report, known := reporters[from.VM]; known && watches(vm) {
 			delete(reporters, from.VM)
 		} else if known {
@@ -102,11 +99,11 @@
 }
 
 // counts reports whether a report of a VM's silence still counts.
-func (l *losses) counts(vm string, report silentReport, now time.Time) bool {
-	if report.former {
-		return now.Sub(report.at) < formerFresh || l.isSilent(vm)
+func (r silentReport) counts(now time.Time) bool {
+	if r.former {
+		return now.Sub(r.at) < heardFresh
 	}
-	return now.Sub(report.at) < silenceFresh
+	return now.Sub(r.at) < silenceFresh
 }
 
 // takeOver notes that a dispatcher was superseded.
@@ -115,16 +112,20 @@
 // suspected reports whether a holder should be given no rights.
 func (l *losses) suspected(holder assignment.Holder, now time.Time) bool {
 	heard := l.heard[holder]
-	if at, ok := l.takenOver[holder]; ok && heard.Before(at) && (now.Sub(at) < takeoverFresh || l.isSilent(holder.VM)) {
+	if at, ok := l.takenOver[holder]; ok && now.Sub(at) < takeoverFresh && heard.Before(at) {
+		return true
+	}
+	unheard := now.Sub(heard) >= heardFresh
+	if unheard && l.isSilent(holder.VM) {
 		return true
 	}
 	reporters := 0
 	for _, report := range l.silent[holder.VM] {
-		if l.counts(holder.VM, report, now) {
+		if report.counts(now) {
 			reporters++
 		}
 	}
-	return reporters >= 2 || reporters == 1 && (heard.IsZero() || now.Sub(heard) >= heardFresh)
+	return reporters >= 2 || reporters == 1 && unheard
 }
 
 // gone returns the holders that have been gone for longer than a lease.
--- a/internal/process/controller/reports_test.go
+++ b/internal/process/controller/reports_test.go
@@ -136,6 +136,18 @@
 	assert.Assert(t, !l.suspected(superseded, now.Add(time.Minute)))
 }
 
+// TestNewControllerSuspectsWhoNeitherReportsNorAnswers guards against rights for a dead VM in the
+// first round of a controller, before the others have told of its silence.
+func TestNewControllerSuspectsWhoNeitherReportsNorAnswers(t *testing.T) {
+	now := time.Unix(100, 0)
+	dead, cutOff := assignment.Holder{VM: "d", Incarnation: "1"}, assignment.Holder{VM: "c", Incarnation: "1"}
+	l := newLosses(func(vm string) bool { return vm == "d" || vm == "c" })
+	l.hear(cutOff, nil, anybody, now)
+	assert.Assert(t, l.suspected(dead, now))
+	assert.Assert(t, !l.suspected(cutOff, now), "its reports arrive")
+	assert.Assert(t, !l.suspected(assignment.Holder{VM: "new", Incarnation: "1"}, now), "it answers")
+}
+
 func TestSilenceNeedsTwoReportersOrSilenceTowardsTheController(t *testing.T) {
 	now := time.Unix(100, 0)
 	l := newLosses(nobody)
