Suspect unreachable VMs only while most VMs answer

A controller that is cut off itself, but not from the store, reaches nobody and gets no reports.

A VM counts as unreachable only while fewer than half of the VMs are silent to this one (TestUnreachableNeedsAMajorityThatAnswers).

--- a/internal/process/controller/cell.go
+++ b/internal/process/controller/cell.go
@@ -56,7 +56,7 @@
 
 func newCell(owner *Controller, service string, number int) *cell {
 	return &cell{owner: owner, id: assignment.CellID(service, number), service: service, number: number,
-		reports: newReports(), losses: newLosses(owner.config.IsSilent), moved: map[placement.SliceID]time.Time{}}
+		reports: newReports(), losses: newLosses(owner.config.Unreachable), moved: map[placement.SliceID]time.Time{}}
 }
 
 // rank returns this VM's place among the cell's candidates, -1 if it is none.
@@ -106,7 +106,7 @@
 func (c *cell) elected() {
 	events.ControllerElected.Log(&c.owner.config.Logger).Str("cell", c.id).Int64("lease", c.lease.version).Send()
 	c.owner.config.Metrics.Counter("elections").Inc(1)
-	c.reports, c.losses = newReports(), newLosses(c.owner.config.IsSilent)
+	c.reports, c.losses = newReports(), newLosses(c.owner.config.Unreachable)
 	c.loaded = false
 	c.read()
 }
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -51,10 +51,10 @@
 	Sender peer.ControlSender
 	// Snapshot returns the present snapshot, nil before the first one.
 	Snapshot func() *routing.Snapshot
-	// IsSilent reports whether a VM did not answer this VM's last call; nil if that is
-	// not known of any.
-	IsSilent func(vm string) bool
-	Logger   zerolog.Logger
+	// Unreachable reports whether a VM did not answer this VM's last call, while most
+	// VMs do; nil if that is not known of any.
+	Unreachable func(vm string) bool
+	Logger      zerolog.Logger
 	// Metrics may be nil.
 	Metrics tally.Scope
 	// Policy bounds the rounds; the zero value means placement.DefaultPolicy.
@@ -83,8 +83,8 @@
 	if config.Policy == (placement.Policy{}) {
 		config.Policy = placement.DefaultPolicy()
 	}
-	if config.IsSilent == nil {
-		config.IsSilent = func(string) bool { return false }
+	if config.Unreachable == nil {
+		config.Unreachable = func(string) bool { return false }
 	}
 	config.Metrics = config.Metrics.SubScope("placement")
 	return &Controller{config: config, cells: map[string]*cell{}, ctx: context.Background(), now: time.Now}
--- a/internal/process/controller/losses.go
+++ b/internal/process/controller/losses.go
@@ -42,9 +42,9 @@
 // it takes a restart under another incarnation, or absence from the platform's
 // list while two of the three partners are suspected.
 type losses struct {
-	// isSilent reports whether a VM did not answer this VM's last call.
-	isSilent func(vm string) bool
-	heard    map[assignment.Holder]time.Time
+	// unreachable reports whether a VM did not answer this VM's last call, while most do.
+	unreachable func(vm string) bool
+	heard       map[assignment.Holder]time.Time
 	// silent holds, by VM, what others last said of its silence, by reporter.
 	silent    map[string]map[string]silentReport
 	takenOver map[assignment.Holder]time.Time
@@ -68,8 +68,8 @@
 	busy        bool
 }
 
-func newLosses(isSilent func(vm string) bool) losses {
-	return losses{isSilent: isSilent, heard: map[assignment.Holder]time.Time{}, silent: map[string]map[string]silentReport{},
+func newLosses(unreachable func(vm string) bool) losses {
+	return losses{unreachable: unreachable, heard: map[assignment.Holder]time.Time{}, silent: map[string]map[string]silentReport{},
 		takenOver: map[assignment.Holder]time.Time{}, goneSince: map[assignment.Holder]time.Time{},
 		platform: map[string]*platformEntry{}}
 }
@@ -116,7 +116,7 @@
 		return true
 	}
 	unheard := now.Sub(heard) >= heardFresh
-	if unheard && l.isSilent(holder.VM) {
+	if unheard && l.unreachable(holder.VM) {
 		return true
 	}
 	reporters := 0
--- a/internal/process/daemon/build.go
+++ b/internal/process/daemon/build.go
@@ -95,7 +95,7 @@
 	d.controller = controller.New(controller.Config{
 		Self: d.holder(), FailureDomain: d.self.FailureDomain, Region: d.self.Region, Loop: d.loop,
 		Store: d.distribution.Store(), Sender: d.transport, Snapshot: d.distribution.Snapshot,
-		IsSilent: d.distribution.IsSilent, Logger: d.logger, Metrics: d.metrics.Scope,
+		Unreachable: d.distribution.Unreachable, Logger: d.logger, Metrics: d.metrics.Scope,
 	})
 	d.reporter = reporter.New(reporter.Config{
 		Self: d.holder(), Region: d.self.Region, Loop: d.loop, Sender: d.transport, Snapshot: d.distribution.Snapshot,
--- a/internal/process/distribution/distribution_test.go
+++ b/internal/process/distribution/distribution_test.go
@@ -340,3 +340,26 @@
 	}
 	return bytes, calls
 }
+
+// TestUnreachableNeedsAMajorityThatAnswers guards against a node that takes all others for lost
+// while it is cut off itself.
+func TestUnreachableNeedsAMajorityThatAnswers(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		f.addDomains(1, 5)
+		d := f.nodes["vm-a-0000"].d
+		unreachable := func(silent ...string) (found bool) {
+			f.nodes["vm-a-0000"].loop.Call(func() {
+				d.contacts = newContacts()
+				for _, vm := range silent {
+					d.contacts.failed(vm, time.Now())
+				}
+				found = d.Unreachable("vm-a-0001")
+			})
+			return found
+		}
+		assert.Assert(t, !unreachable())
+		assert.Assert(t, !unreachable("vm-a-0002"))
+		assert.Assert(t, unreachable("vm-a-0001", "vm-a-0002"))
+		assert.Assert(t, !unreachable("vm-a-0001", "vm-a-0002", "vm-a-0003"))
+	})
+}
--- a/internal/process/distribution/observe.go
+++ b/internal/process/distribution/observe.go
@@ -17,6 +17,12 @@
 // called on the loop.
 func (d *Distribution) IsSilent(vm string) bool { return d.contacts.isSilent(vm) }
 
+// Unreachable reports whether the last call of this node to a VM failed, though most VMs
+// answer; otherwise this node may be the one that is cut off. It is called on the loop.
+func (d *Distribution) Unreachable(vm string) bool {
+	return d.contacts.isSilent(vm) && 2*len(d.contacts.silent) < len(d.VMs())
+}
+
 // SilentVMs returns the VMs that did not answer this node's last call. It is
 // called on the loop.
 func (d *Distribution) SilentVMs() []string {
