--- a/internal/process/ownership/handover.go
+++ b/internal/process/ownership/handover.go
@@ -162,8 +162,7 @@
 		m.acceptHandover(h, r, from)
 		return nil
 	case m.isSelf(r.Backup):
-		// It comes here because the next dispatcher has not answered: the link between
-		// the two dispatchers may be cut.
+		// The next dispatcher has not answered; only the link to it may be cut.
 		m.keepHandover(h)
 		m.out.send(r.Dispatcher.VM, &peerv1.Control{Kind: &peerv1.Control_Handover{Handover: h}})
 		return handoverAck(h, true)
@@ -175,7 +174,7 @@
 // still has in flight.
 func (m *machine) inherit(t *tenure, from assignment.Holder, h *peerv1.Handover) {
 	if r := m.record.rightsOf(t.target); r != nil && r.Previous != nil && r.Previous.Dispatcher == from {
-		// The first copy may have come through the backup, which does not know the count.
+		// A copy that came through the backup carries an older count.
 		t.inheritedFrom = from
 	}
 	if t.phase != holding || t.epoch != h.NextEpoch || t.inheritedFrom != from {
--- a/internal/request/entry/attempt.go
+++ b/internal/request/entry/attempt.go
@@ -119,7 +119,7 @@
 		refused.retryAfter = time.Duration(response.RetryAfterUs) * time.Microsecond
 		if response.Redirect != nil {
 			x.handler.redirects.add(x.params.key, response.Redirect)
-			refused.redirect = termOf(response.Redirect)
+			refused.redirect = recencyOf(response.Redirect)
 		}
 		return refused
 	}
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -199,9 +199,8 @@
 	retryAfter time.Duration
 	// answer is the target's answer; nil unless kind is Answered.
 	answer *answer
-	// redirect is the term of the dispatcher that the refusing one names; zero if it
-	// names none.
-	redirect term
+	// redirect is the recency of a refusal's redirect; zero if there is none.
+	redirect recency
 }
 
 func notRun(reason outcome.Reason) result { return result{kind: outcome.NotRun, reason: reason} }
--- a/internal/request/entry/history.go
+++ b/internal/request/entry/history.go
@@ -14,8 +14,8 @@
 	// useOther sends the next attempt to the other holder of that destination.
 	useOther  bool
 	redirects int
-	// followed is the latest term of a redirect that was followed.
-	followed term
+	// followed is the recency of the latest redirect that was followed.
+	followed recency
 	retries  int
 	repairs  int
 	// attempts counts the refused attempts since the last wait of a repair.
--- a/internal/request/entry/redirects.go
+++ b/internal/request/entry/redirects.go
@@ -10,21 +10,21 @@
 // maxRedirects bounds the remembered redirects.
 const maxRedirects = 8192
 
-// term orders what is known of who serves a key: a higher fence names a later owner
+// recency orders what is known of who serves a key: a higher fence names a later owner
 // and, at one fence, a higher epoch a later dispatcher of that owner.
-type term struct{ fence, epoch uint64 }
+type recency struct{ fence, epoch uint64 }
 
-func (t term) before(other term) bool {
-	return t.fence < other.fence || t.fence == other.fence && t.epoch < other.epoch
+func (r recency) before(other recency) bool {
+	return r.fence < other.fence || r.fence == other.fence && r.epoch < other.epoch
 }
 
-func termOf(redirect *peerv1.Redirect) term { return term{redirect.Fence, redirect.Epoch} }
+func recencyOf(redirect *peerv1.Redirect) recency { return recency{redirect.Fence, redirect.Epoch} }
 
 // redirectKey names a key within its cell.
 type redirectKey struct{ cell, key string }
 
 // redirectCache remembers redirects that are newer than the assignment that
-// the snapshot shows. A redirect counts while its term is later.
+// the snapshot shows. A redirect counts while it is more recent.
 type redirectCache struct {
 	mu    sync.RWMutex
 	known map[redirectKey]*peerv1.Redirect
@@ -40,7 +40,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at := redirectKey{cell: redirect.Cell, key: key}
-	if old := c.known[at]; old != nil && !termOf(old).before(termOf(redirect)) {
+	if old := c.known[at]; old != nil && !recencyOf(old).before(recencyOf(redirect)) {
 		return
 	}
 	if len(c.known) >= maxRedirects {
@@ -59,19 +59,19 @@
 	c.mu.RLock()
 	redirect := c.known[at]
 	c.mu.RUnlock()
-	if redirect == nil || (term{route.Fence, route.Epoch}).before(termOf(redirect)) {
+	if redirect == nil || (recency{route.Fence, route.Epoch}).before(recencyOf(redirect)) {
 		return redirect
 	}
-	c.forget(key, route.Cell, termOf(redirect))
+	c.forget(key, route.Cell, recencyOf(redirect))
 	return nil
 }
 
 // forget removes the redirect of a key unless a later one is known.
-func (c *redirectCache) forget(key, cell string, until term) {
+func (c *redirectCache) forget(key, cell string, until recency) {
 	at := redirectKey{cell: cell, key: key}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if known := c.known[at]; known != nil && !until.before(termOf(known)) {
+	if known := c.known[at]; known != nil && !until.before(recencyOf(known)) {
 		delete(c.known, at)
 	}
 }
