Order redirects by one piece of code

Entries and the rights table each had the order by fence and then epoch. It is assignment.Recency now, and a route says its own.

--- a/internal/request/entry/destination.go
+++ b/internal/request/entry/destination.go
@@ -53,9 +53,6 @@
 	return d, true
 }
 
-// recency returns how new the knowledge is by which the destination was chosen.
-func (d *destination) recency() recency { return recency{d.route.Fence, d.route.Epoch} }
-
 // redirected returns the destination that a redirect names. The target's dispatcher is
 // that of the record if it is a later one: the sender of a redirect may have an older record.
 func (x *exchange) redirected(route routing.Route, redirect *peerv1.Redirect) destination {
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
 	"github.com/chestnutcourse/chestnutcourse/internal/connection/peer"
 	"github.com/chestnutcourse/chestnutcourse/internal/request/outcome"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/assignment"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/routing"
 )
 
@@ -200,7 +201,7 @@
 	// answer is the target's answer; nil unless kind is Answered.
 	answer *answer
 	// redirect is the recency of a refusal's redirect; zero if there is none.
-	redirect recency
+	redirect assignment.Recency
 }
 
 func notRun(reason outcome.Reason) result { return result{kind: outcome.NotRun, reason: reason} }
--- a/internal/request/entry/history.go
+++ b/internal/request/entry/history.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/chestnutcourse/chestnutcourse/internal/version/assignment"
 )
 
 // history is what has been tried for one request.
@@ -15,7 +17,7 @@
 	useOther  bool
 	redirects int
 	// followed is the recency of the latest redirect that was followed.
-	followed recency
+	followed assignment.Recency
 	retries  int
 	repairs  int
 	// attempts counts the refused attempts since the last wait of a repair.
--- a/internal/request/entry/redirects.go
+++ b/internal/request/entry/redirects.go
@@ -4,22 +4,17 @@
 	"sync"
 
 	"github.com/chestnutcourse/chestnutcourse/api/peerv1"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/assignment"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/routing"
 )
 
 // maxRedirects bounds the remembered redirects.
 const maxRedirects = 8192
 
-// recency orders what is known of who serves a key: a higher fence names a later owner
-// and, at one fence, a higher epoch a later dispatcher of that owner.
-type recency struct{ fence, epoch uint64 }
-
-func (r recency) before(other recency) bool {
-	return r.fence < other.fence || r.fence == other.fence && r.epoch < other.epoch
+func recencyOf(redirect *peerv1.Redirect) assignment.Recency {
+	return assignment.Recency{Fence: redirect.Fence, Epoch: redirect.Epoch}
 }
 
-func recencyOf(redirect *peerv1.Redirect) recency { return recency{redirect.Fence, redirect.Epoch} }
-
 // redirectKey names a key within its cell.
 type redirectKey struct{ cell, key string }
 
@@ -40,7 +35,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at := redirectKey{cell: redirect.Cell, key: key}
-	if old := c.known[at]; old != nil && !recencyOf(old).before(recencyOf(redirect)) {
+	if old := c.known[at]; old != nil && !recencyOf(old).Before(recencyOf(redirect)) {
 		return
 	}
 	if len(c.known) >= maxRedirects {
@@ -59,7 +54,7 @@
 	c.mu.RLock()
 	redirect := c.known[at]
 	c.mu.RUnlock()
-	if redirect == nil || (recency{route.Fence, route.Epoch}).before(recencyOf(redirect)) {
+	if redirect == nil || route.Recency().Before(recencyOf(redirect)) {
 		return redirect
 	}
 	c.forget(key, route.Cell, recencyOf(redirect))
@@ -67,11 +62,11 @@
 }
 
 // forget removes the redirect of a key unless a later one is known.
-func (c *redirectCache) forget(key, cell string, until recency) {
+func (c *redirectCache) forget(key, cell string, until assignment.Recency) {
 	at := redirectKey{cell: cell, key: key}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if known := c.known[at]; known != nil && !until.before(recencyOf(known)) {
+	if known := c.known[at]; known != nil && !until.Before(recencyOf(known)) {
 		delete(c.known, at)
 	}
 }
--- a/internal/request/entry/retry.go
+++ b/internal/request/entry/retry.go
@@ -79,7 +79,7 @@
 	// followed: the next owner may not have taken the key over yet, and may still
 	// name the one to which it released the key in an earlier move. The next owner's
 	// dispatcher may have changed meanwhile; its redirect has a later epoch.
-	if d.recency().before(r.redirect) && history.followed.before(r.redirect) {
+	if d.route.Recency().Before(r.redirect) && history.followed.Before(r.redirect) {
 		history.redirects++
 		history.followed = r.redirect
 		history.useOther = false
@@ -88,7 +88,7 @@
 	}
 	if d.by == byRedirect && r.reason == outcome.NotOwner && (history.useOther || d.other == "") {
 		// Neither holder of the next owner has the key; the record or its dispatcher knows more.
-		x.handler.redirects.forget(x.params.key, d.route.Cell, d.recency())
+		x.handler.redirects.forget(x.params.key, d.route.Cell, d.route.Recency())
 	}
 	if x.free() && d.route.Target != "" {
 		history.targets = append(history.targets, d.route.Target)
--- a/internal/version/rights/rights.go
+++ b/internal/version/rights/rights.go
@@ -58,10 +58,8 @@
 	Epoch      uint64
 }
 
-// newerThan reports whether a redirect names a later owner than another, or a later
-// dispatcher of the same one.
-func (r *Redirect) newerThan(other *Redirect) bool {
-	return r.Fence > other.Fence || r.Fence == other.Fence && r.Epoch > other.Epoch
+func (r *Redirect) recency() assignment.Recency {
+	return assignment.Recency{Fence: r.Fence, Epoch: r.Epoch}
 }
 
 // Lease is the end of a dispatch right on the monotonic clock of this process.
@@ -125,7 +123,7 @@
 	redirects := t.Redirects[cell]
 	for i := range redirects {
 		r := &redirects[i]
-		if r.Slice.Contains(key, hash) && (newest == nil || r.newerThan(newest)) {
+		if r.Slice.Contains(key, hash) && (newest == nil || newest.recency().Before(r.recency())) {
 			newest = r
 		}
 	}
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -69,6 +69,11 @@
 	Next string
 }
 
+// Recency returns how new the knowledge is that the route rests on.
+func (r *Route) Recency() assignment.Recency {
+	return assignment.Recency{Fence: r.Fence, Epoch: r.Epoch}
+}
+
 // New builds a snapshot. cells are keyed by cell ID; the maps are kept and must
 // not be changed afterwards.
 func New(m *manifest.Manifest, manifestVersion int64, cells map[string]*Cell, vms map[string]VM) *Snapshot {
