Build the right that a handover passes on, and its message, in one place each

remember and publishRedirects filled in the same right, three functions the same message, and noteLeaving went over two maps.

--- a/internal/process/ownership/handover.go
+++ b/internal/process/ownership/handover.go
@@ -90,7 +90,7 @@
 	m.countInFlight(t)
 	first := h.nextSend == 0
 	h.nextSend = m.now + timing.RenewalInterval
-	message := &peerv1.Control{Kind: &peerv1.Control_Handover{Handover: h.message}}
+	message := handoverMessage(h.message)
 	m.out.send(h.next.Dispatcher.VM, message)
 	if !first && h.next.Backup.VM != "" {
 		m.out.send(h.next.Backup.VM, message)
@@ -136,7 +136,7 @@
 			if m.isSelf(r.Dispatcher) {
 				m.receiveHandover(r.Previous.Dispatcher, h)
 			}
-			message := &peerv1.Control{Kind: &peerv1.Control_Handover{Handover: h}}
+			message := handoverMessage(h)
 			for _, next := range []assignment.Holder{r.Dispatcher, r.Backup} {
 				if next != m.self && next.VM != "" {
 					m.out.send(next.VM, message)
@@ -164,7 +164,7 @@
 	case m.isSelf(r.Backup):
 		// The next dispatcher has not answered; only the link to it may be cut.
 		m.keepHandover(h)
-		m.out.send(r.Dispatcher.VM, &peerv1.Control{Kind: &peerv1.Control_Handover{Handover: h}})
+		m.out.send(r.Dispatcher.VM, handoverMessage(h))
 		return handoverAck(h, true)
 	}
 	return handoverAck(h, false)
@@ -255,6 +255,10 @@
 	}
 }
 
+func handoverMessage(h *peerv1.Handover) *peerv1.Control {
+	return &peerv1.Control{Kind: &peerv1.Control_Handover{Handover: h}}
+}
+
 func handoverAck(h *peerv1.Handover, accepted bool) *peerv1.Control {
 	ack := &peerv1.HandoverAck{Target: h.Target, NextEpoch: h.NextEpoch, Accepted: accepted}
 	return &peerv1.Control{Kind: &peerv1.Control_HandoverAck{HandoverAck: ack}}
--- a/internal/process/ownership/publish.go
+++ b/internal/process/ownership/publish.go
@@ -51,10 +51,15 @@
 
 // remember keeps pointing to the next dispatcher of a target.
 func (m *machine) remember(t *tenure) {
-	m.former[t.target] = &formerRight{
-		cell: t.cell, pieces: t.grants.desired, until: m.now + redirectDuration,
-		next: t.handover.next.Dispatcher.VM, epoch: t.handover.next.Epoch,
-	}
+	former := t.handedOver()
+	former.until = m.now + redirectDuration
+	m.former[t.target] = &former
+}
+
+// handedOver returns the right that the tenure passes on by its handover.
+func (t *tenure) handedOver() formerRight {
+	next := &t.handover.next
+	return formerRight{cell: t.cell, pieces: t.grants.desired, next: next.Dispatcher.VM, epoch: next.Epoch}
 }
 
 func (f *formerRight) publish(table *rights.Table, target string) {
@@ -143,7 +148,7 @@
 // publishRedirects tells where released slices are served now.
 func (m *machine) publishRedirects(table *rights.Table, t *tenure) {
 	if t.phase == passing && !m.isSelf(t.handover.next.Dispatcher) {
-		former := formerRight{cell: t.cell, pieces: t.grants.desired, next: t.handover.next.Dispatcher.VM, epoch: t.handover.next.Epoch}
+		former := t.handedOver()
 		former.publish(table, t.target)
 	}
 	for _, p := range t.releases {
--- a/internal/process/ownership/record.go
+++ b/internal/process/ownership/record.go
@@ -98,16 +98,18 @@
 // noteLeaving notes since when targets are leaving. The time does not begin anew when the
 // right to dispatch to a target passes on.
 func (m *machine) noteLeaving() {
-	for target := range m.leavingSince {
-		if !m.record.targets[target].leaving {
-			delete(m.leavingSince, target)
-		}
-	}
+	since := map[string]time.Duration{}
 	for target, info := range m.record.targets {
-		if _, known := m.leavingSince[target]; info.leaving && !known {
-			m.leavingSince[target] = m.now
+		if !info.leaving {
+			continue
+		}
+		at, known := m.leavingSince[target]
+		if !known {
+			at = m.now
 		}
+		since[target] = at
 	}
+	m.leavingSince = since
 }
 
 // adoptRights compares the tenures and guards of this VM with the record.
