Change partners in the tests of ownership as the controller does

Five tests, four of them new, wrote the change of a target's partners by hand; they now call placement.ChangePartners, which also names the recovery fence. Assertions are as they were.

--- a/internal/process/ownership/basic_test.go
+++ b/internal/process/ownership/basic_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutcourse/chestnutcourse/internal/testutil/seed"
 	"github.com/chestnutcourse/chestnutcourse/internal/version/assignment"
+	"github.com/chestnutcourse/chestnutcourse/internal/version/placement"
 	"gotest.tools/v3/assert"
 )
 
@@ -111,14 +112,23 @@
 	assert.Equal(t, w.record.cell.Slices[0].Owner, "t1")
 }
 
-func TestChangeOfDispatcher(t *testing.T) {
-	w := settled(t, quiet())
+// changePartners writes a change of a target's partners into the record.
+func (w *world) changePartners(t *testing.T, target string, change func(*assignment.Partners)) {
+	t.Helper()
 	next := w.record.cell.Clone()
-	r := &next.Targets[0]
-	previous := r.Partners
-	r.Previous, r.PreviousEpoch, r.Epoch = &previous, 1, 2
-	r.Partners.Dispatcher, r.Partners.Backup, r.Partners.Witness = previous.Witness, previous.Backup, previous.Dispatcher
+	partners := next.RightsOf(target).Partners
+	change(&partners)
+	assert.NilError(t, placement.ChangePartners(next, target, partners))
 	w.record.write(w.record.version, next)
+}
+
+func swapDispatcherAndWitness(p *assignment.Partners) {
+	p.Dispatcher, p.Witness = p.Witness, p.Dispatcher
+}
+
+func TestChangeOfDispatcher(t *testing.T) {
+	w := settled(t, quiet())
+	w.changePartners(t, "t0", swapDispatcherAndWitness)
 	w.runFor(2 * time.Second)
 	requireServed(t, w)
 	assert.Equal(t, w.decisions[handoverAccepted], 1)
@@ -134,17 +144,15 @@
 		w := newWorld(seed.Value+n, quiet())
 		w.runFor(3 * time.Second)
 		requireServed(t, w)
-		next := w.record.cell.Clone()
-		next.Slices[0].Moving = true
-		r := &next.Targets[0]
-		previous := r.Partners
-		r.Previous, r.PreviousEpoch, r.Epoch = &previous, 1, 2
-		r.Partners.Dispatcher = w.node("vm3").self()
-		w.node("vm3").kill()
+		previous := w.record.cell.RightsOf("t0").Partners
 		w.cut[[2]string{previous.Backup.VM, "t0"}] = true
 		dispatcher := w.node(previous.Dispatcher.VM)
 		dispatcher.adoptsNothing = true
-		w.record.write(w.record.version, next)
+		moving := w.record.cell.Clone()
+		moving.Slices[0].Moving = true
+		w.record.write(w.record.version, moving)
+		w.changePartners(t, "t0", func(p *assignment.Partners) { p.Dispatcher = w.node("vm3").self() })
+		w.node("vm3").kill()
 		w.runFor(100 * time.Millisecond)
 		dispatcher.adoptsNothing = false
 		for range 400 {
@@ -160,14 +168,9 @@
 // complete while only a partner keeps it: the next dispatcher then begins with a recovery.
 func TestHandoverWaitsForADispatcherWithAnOlderRecord(t *testing.T) {
 	w := settled(t, quiet())
-	next := w.record.cell.Clone()
-	r := &next.Targets[0]
-	previous := r.Partners
-	r.Previous, r.PreviousEpoch, r.Epoch = &previous, 1, 2
-	r.Partners.Dispatcher, r.Partners.Witness = previous.Witness, previous.Dispatcher
-	late := w.node(previous.Witness.VM)
+	late := w.node(w.record.cell.RightsOf("t0").Witness.VM)
 	late.adoptsNothing = true
-	w.record.write(w.record.version, next)
+	w.changePartners(t, "t0", swapDispatcherAndWitness)
 	w.runFor(500 * time.Millisecond)
 	late.adoptsNothing = false
 	took := outage(t, w, 2*time.Second)
@@ -181,13 +184,9 @@
 // between the two dispatchers is cut.
 func TestHandoverReachesADispatcherThroughItsBackup(t *testing.T) {
 	w := settled(t, quiet())
-	next := w.record.cell.Clone()
-	r := &next.Targets[0]
-	previous := r.Partners
-	r.Previous, r.PreviousEpoch, r.Epoch = &previous, 1, 2
-	r.Partners.Dispatcher, r.Partners.Witness = previous.Witness, previous.Dispatcher
+	previous := w.record.cell.RightsOf("t0").Partners
 	w.cut[[2]string{previous.Dispatcher.VM, previous.Witness.VM}] = true
-	w.record.write(w.record.version, next)
+	w.changePartners(t, "t0", swapDispatcherAndWitness)
 	w.runFor(100 * time.Millisecond)
 	took := outage(t, w, 2*time.Second)
 	t.Logf("served after %v", took)
@@ -208,12 +207,8 @@
 	mover := w.node("vm0")
 	mover.adoptsNothing = true
 	w.runFor(time.Second)
-	changed := w.record.cell.Clone()
-	r := changed.RightsOf("t1")
-	previous := r.Partners
-	r.Previous, r.PreviousEpoch, r.Epoch = &previous, 1, 2
-	r.Partners.Dispatcher, r.Partners.Witness = previous.Witness, previous.Dispatcher
-	w.record.write(w.record.version, changed)
+	previous := w.record.cell.RightsOf("t1").Partners
+	w.changePartners(t, "t1", swapDispatcherAndWitness)
 	w.runFor(time.Second)
 	requireServed(t, w)
 	first := mover.table.FindRedirect(w.record.cell.ID, key.key, key.hash)
