Make the test of a handover through the backup need the backup

Now the dispatcher keeps another target and stays heard. The assertions are as they were, and count from the cut on.

--- a/internal/process/ownership/basic_test.go
+++ b/internal/process/ownership/basic_test.go
@@ -185,9 +185,18 @@
 func TestHandoverReachesADispatcherThroughItsBackup(t *testing.T) {
 	w := settled(t, quiet())
 	previous := w.record.cell.RightsOf("t0").Partners
+	// The dispatcher keeps another target, so that its partners go on hearing it.
+	w.changePartners(t, "t2", func(p *assignment.Partners) {
+		*p = assignment.Partners{Dispatcher: previous.Dispatcher, Backup: previous.Backup, Witness: w.node("vm4").self()}
+	})
+	w.runFor(2 * time.Second)
+	requireServed(t, w)
+	clear(w.decisions)
 	w.cut[[2]string{previous.Dispatcher.VM, previous.Witness.VM}] = true
 	w.changePartners(t, "t0", swapDispatcherAndWitness)
-	w.runFor(100 * time.Millisecond)
+	for w.decisions[handoverBegun] == 0 {
+		w.runFor(5 * time.Millisecond)
+	}
 	took := outage(t, w, 2*time.Second)
 	t.Logf("served after %v", took)
 	assert.Equal(t, w.decisions[recoveryBegun], 0)
