Share what tests of redirects and of leaving targets repeat

Refusals with a redirect are built by one function, in the tests before as well. The two tests of a leaving target run one check, which has the assertions of both; with a later grace both fail.

--- a/internal/request/dispatch/serve_test.go
+++ b/internal/request/dispatch/serve_test.go
@@ -290,45 +290,38 @@
 	}
 }
 
-func TestLeavingTargetGetsNoNewWork(t *testing.T) {
-	const limit = 3 * time.Second
-	server := listenTarget(t, faketarget.Settings{ServiceMillis: 5})
-	f := newFixture(t, server.Address(), nil)
-	f.warm(4)
-	server.Change(func(s *faketarget.Settings) { s.Leaving = true })
-	f.hold(func(held *rights.Target) { held.Leaving, held.LeavingSince = true, rights.Monotonic() })
-	var last *reply
-	for end := time.Now().Add(limit + 500*time.Millisecond); time.Now().Before(end); {
-		last = f.serve(f.request(nil))
-	}
-	assert.Equal(t, last.kind(), outcome.NotRun)
-	assert.Equal(t, last.why(), outcome.Draining)
-	record := server.Record()
-	assert.Equal(t, record.StartsAfterLeaving(limit), 0)
-	assert.Assert(t, record.StartsAfterLeaving(0) > 0, "keys must be served while their slices move")
-}
+func TestLeavingTargetGetsNoNewWork(t *testing.T) { checkLeaving(t, false) }
 
 // TestLeavingTargetGetsNoNewWorkAfterAHandover guards against a next dispatcher that gives a
 // leaving target its time anew.
-func TestLeavingTargetGetsNoNewWorkAfterAHandover(t *testing.T) {
+func TestLeavingTargetGetsNoNewWorkAfterAHandover(t *testing.T) { checkLeaving(t, true) }
+
+// checkLeaving sends requests for a leaving target, whose dispatcher changes in the middle of
+// its time if handover is set.
+func checkLeaving(t *testing.T, handover bool) {
 	const limit = 3 * time.Second
 	server := listenTarget(t, faketarget.Settings{ServiceMillis: 5})
 	f := newFixture(t, server.Address(), nil)
 	f.warm(4)
 	server.Change(func(s *faketarget.Settings) { s.Leaving = true })
 	f.hold(func(held *rights.Target) { held.Leaving, held.LeavingSince = true, rights.Monotonic() })
-	handover, end := time.Now().Add(limit/2), time.Now().Add(limit+500*time.Millisecond)
-	for time.Now().Before(handover) {
-		f.serve(f.request(nil))
+	serveUntil := func(end time.Time) (last *reply) {
+		for time.Now().Before(end) {
+			last = f.serve(f.request(nil))
+		}
+		return last
 	}
-	f.dispatcher = f.newDispatcher()
-	var last *reply
-	for time.Now().Before(end) {
-		last = f.serve(f.request(nil))
+	began := time.Now()
+	if handover {
+		serveUntil(began.Add(limit / 2))
+		f.dispatcher = f.newDispatcher()
 	}
+	last := serveUntil(began.Add(limit + 500*time.Millisecond))
+	assert.Equal(t, last.kind(), outcome.NotRun)
 	assert.Equal(t, last.why(), outcome.Draining)
 	record := server.Record()
 	assert.Equal(t, record.StartsAfterLeaving(limit), 0)
+	assert.Assert(t, record.StartsAfterLeaving(0) > 0, "keys must be served while their slices move")
 }
 
 func TestUploadSurvivesTheDrainOfItsTarget(t *testing.T) {
--- a/internal/request/entry/main_test.go
+++ b/internal/request/entry/main_test.go
@@ -194,6 +194,13 @@
 	return &peerv1.Response{Id: request.Id, Outcome: outcome.NotRun.Wire(), Reason: string(reason)}, nil, nil
 }
 
+// redirected refuses a request for a key that another dispatcher serves.
+func redirected(request *peerv1.Request, to *peerv1.Redirect) (*peerv1.Response, io.ReadCloser, error) {
+	response, body, err := refused(request, outcome.NotOwner)
+	response.Redirect = to
+	return response, body, err
+}
+
 func streamed(request *peerv1.Request, length int64, body io.Reader) (*peerv1.Response, io.ReadCloser, error) {
 	return &peerv1.Response{
 		Id: request.Id, Outcome: outcome.Answered.Wire(), Status: 200, BodyFollows: true, ContentLength: length,
--- a/internal/request/entry/retry_test.go
+++ b/internal/request/entry/retry_test.go
@@ -104,9 +104,7 @@
 		if vm == "vm9" && request.Target == "booking-t2" {
 			return answered(request, "")
 		}
-		response, body, err := refused(request, outcome.NotOwner)
-		response.Redirect = &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6}
-		return response, body, err
+		return redirected(request, &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6})
 	}), bookingService())
 	for range 2 {
 		assert.Equal(t, b.send(t, "POST", "/booking", nil, nil).outcome(), "answered")
@@ -126,9 +124,7 @@
 	var tried attempts
 	b := newBench(t, senderFunc(func(_ context.Context, vm string, request *peerv1.Request, _ io.Reader) (*peerv1.Response, io.ReadCloser, error) {
 		n := tried.add(vm, request)
-		response, body, err := refused(request, outcome.NotOwner)
-		response.Redirect = &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm2", Fence: uint64(5 + n)}
-		return response, body, err
+		return redirected(request, &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm2", Fence: uint64(5 + n)})
 	}), bookingService())
 	assert.Equal(t, b.send(t, "POST", "/booking", nil, nil).outcome(), "not-run")
 	assert.Equal(t, len(tried.all()), 1+maxRedirectsFollowed)
@@ -142,11 +138,10 @@
 		if vm == "vm1" && request.Target == "booking-t1" && n > 1 {
 			return answered(request, "")
 		}
-		response, body, err := refused(request, outcome.NotOwner)
 		if n == 1 {
-			response.Redirect = &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6}
+			return redirected(request, &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6})
 		}
-		return response, body, err
+		return refused(request, outcome.NotOwner)
 	}), bookingService())
 	assert.Equal(t, b.send(t, "POST", "/booking", nil, nil).outcome(), "answered")
 	assert.Equal(t, len(b.handler.redirects.known), 0)
@@ -162,12 +157,10 @@
 		if vm == "vm9" && time.Since(began) > 200*time.Millisecond {
 			return answered(request, "")
 		}
-		response, body, err := refused(request, outcome.NotOwner)
-		response.Redirect = &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6}
 		if vm == "vm9" {
-			response.Redirect = &peerv1.Redirect{Cell: "booking/0", Target: "booking-t1", Dispatcher: "vm1", Fence: 4}
+			return redirected(request, &peerv1.Redirect{Cell: "booking/0", Target: "booking-t1", Dispatcher: "vm1", Fence: 4})
 		}
-		return response, body, err
+		return redirected(request, &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6})
 	}), bookingService())
 	assert.Equal(t, b.send(t, "POST", "/booking", nil, nil).outcome(), "answered")
 	sent := tried.all()
@@ -184,12 +177,10 @@
 		if vm == "vm8" {
 			return answered(request, "")
 		}
-		response, body, err := refused(request, outcome.NotOwner)
-		response.Redirect = &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6, Epoch: 1}
 		if vm == "vm9" {
-			response.Redirect.Dispatcher, response.Redirect.Epoch = "vm8", 2
+			return redirected(request, &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm8", Fence: 6, Epoch: 2})
 		}
-		return response, body, err
+		return redirected(request, &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6, Epoch: 1})
 	}), bookingService())
 	for range 2 {
 		assert.Equal(t, b.send(t, "POST", "/booking", nil, nil).outcome(), "answered")
@@ -206,9 +197,7 @@
 		if vm == "vm2" && request.Target == "booking-t2" {
 			return answered(request, "")
 		}
-		response, body, err := refused(request, outcome.NotOwner)
-		response.Redirect = &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6, Epoch: 1}
-		return response, body, err
+		return redirected(request, &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6, Epoch: 1})
 	}), bookingService())
 	newer := snapshotOf(2, bookingService())
 	newer.Services["booking"].Cells[0].Assignment.Targets[1].Epoch = 2
@@ -229,11 +218,10 @@
 				return answered(request, "")
 			}
 		}
-		response, body, err := refused(request, outcome.NotOwner)
 		if vm == "vm1" {
-			response.Redirect = &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6}
+			return redirected(request, &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6})
 		}
-		return response, body, err
+		return refused(request, outcome.NotOwner)
 	}), bookingService())
 	assert.Equal(t, b.send(t, "POST", "/booking", nil, nil).outcome(), "answered")
 	assert.Assert(t, len(tried.all()) <= 8, "%v", tried.vms())
@@ -245,12 +233,10 @@
 	var tried attempts
 	b := newBench(t, senderFunc(func(_ context.Context, vm string, request *peerv1.Request, _ io.Reader) (*peerv1.Response, io.ReadCloser, error) {
 		tried.add(vm, request)
-		response, body, err := refused(request, outcome.NotOwner)
-		response.Redirect = &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6}
 		if vm == "vm9" {
-			response.Redirect = &peerv1.Redirect{Cell: "booking/0", Target: "booking-t1", Dispatcher: "vm1", Fence: 5}
+			return redirected(request, &peerv1.Redirect{Cell: "booking/0", Target: "booking-t1", Dispatcher: "vm1", Fence: 5})
 		}
-		return response, body, err
+		return redirected(request, &peerv1.Redirect{Cell: "booking/0", Target: "booking-t2", Dispatcher: "vm9", Fence: 6})
 	}), bookingService())
 	got := b.send(t, "POST", "/booking", nil, func(r *http.Request) { r.Header.Set(DeadlineHeader, "500") })
 	assert.Equal(t, got.outcome(), "not-run")
