review: a server whose clock jumped back is never heard again (DRAIN)

Cause: an entry whose start is before the known one's is taken for that of an earlier process, whatever its revision in the store.

The stand-ins have the build tag review, which keeps them out of the default build.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -o target/review-2/stand ./review/stand-2
+go build -tags review -o target/review-2/stand ./review/stand-2
--- a/review/stand-2/cold.go
+++ b/review/stand-2/cold.go
@@ -1,7 +1,8 @@
+//go:build review
+
 package main
 
 import (
-	"sync"
 	"time"
 
 	"github.com/chestnutcourse/chestnutcourse/internal/testutil/fencetarget"
@@ -25,12 +26,12 @@
 	for _, zone := range zones {
 		s.addServer("i-warm-"+zone, "benchlist", zone, settings)
 	}
-	s.startDaemons()
+	s.startDaemons(smallMachine)
 	s.waitReady()
 	time.Sleep(5 * time.Second)
 	former := s.leader()
 	record("the leader is %s; the load begins", former.name)
-	stop := s.load("/roster/x")
+	stop := s.load("GET", "/roster/x", 8)
 	time.Sleep(3 * time.Second)
 	settings.ColdFor = warmup
 	t := s.addServer("i-cold", "benchlist", "north-a", settings)
@@ -47,42 +48,14 @@
 	verdict(float64(n) > coldBound, "the cold server got up to %d requests in one second; the bound is %.1f", n, coldBound)
 }
 
-// load sends requests through all machines until the result is called.
-func (s *site) load(path string) (stop func()) {
-	const clientsPerMachine = 8
-	done := make(chan struct{})
-	var clients sync.WaitGroup
-	for _, d := range s.daemons {
-		for range clientsPerMachine {
-			clients.Go(func() {
-				c := &client{address: d.callers}
-				defer c.close()
-				for {
-					select {
-					case <-done:
-						return
-					case <-time.After(10 * time.Millisecond):
-						note(c.send("GET", path, 0, ""), d)
-					}
-				}
-			})
-		}
-	}
-	return func() {
-		close(done)
-		clients.Wait()
-	}
-}
-
 // mostInOneSecond returns the largest number of requests that arrived at a server within a
 // second, in the given time from its start.
 func mostInOneSecond(t *server, within time.Duration) (most int) {
-	began := time.UnixMilli(t.born)
 	var at []time.Time
 	for _, a := range t.Arrivals() {
-		if a.At.Sub(began) < within {
+		if a.At.Sub(t.startedAt) < within {
 			at = append(at, a.At)
-			record("%s: arrival of %s, %.3f s after the start", t.id, a.Attempt, a.At.Sub(began).Seconds())
+			record("%s: arrival of %s, %.3f s after the start", t.id, a.Attempt, a.At.Sub(t.startedAt).Seconds())
 		}
 	}
 	for i := range at {
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command stand-2 plays the cases of the second review against the project's daemons. Each
 // case writes what it has seen to a record and exits with 1 if the rule was broken, 0 if it
 // held, and 2 if the case could not run. The environment variable TROUBLE=0 leaves out the
@@ -102,6 +104,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(){
+	"clock-back":        clockBack,
 	"silent-sessions":   silentSessions,
 	"double-slash":      doubleSlash,
 	"isolated-leader":   isolatedLeader,
--- a/review/stand-2/percent.go
+++ b/review/stand-2/percent.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -19,7 +21,7 @@
 	s := newSite()
 	s.configure(1, []route{{prefix: "/slots/", kind: "idempotent", service: "benchlist"}})
 	t := s.addServer("i-0", "benchlist", "north-a", fencetarget.Settings{Work: serverWork})
-	d := s.addDaemon("edge-north-a-1", "north-a", "0.224")
+	d := s.addDaemon("edge-north-a-1", "north-a", smallMachine)
 	s.waitReady()
 	time.Sleep(time.Second)
 	behind := "/slots/discount-10%25"
--- a/review/stand-2/silent.go
+++ b/review/stand-2/silent.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -29,7 +31,7 @@
 	for _, zone := range zones {
 		s.addServer("i-seat-"+zone, first.service, zone, settings)
 	}
-	s.startDaemons()
+	s.startDaemons(smallMachine)
 	s.waitReady()
 	time.Sleep(5 * time.Second)
 	entry := s.leader()
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -45,6 +47,8 @@
 	// storeLink and peerLink are what the machine's connections to the store and the other
 	// machines' connections to it go through.
 	storeLink, peerLink *relay
+	environment         []string
+	log                 *os.File
 	command             *exec.Cmd
 	exited              chan struct{}
 }
@@ -52,10 +56,11 @@
 // server is one server in one life.
 type server struct {
 	*fencetarget.Target
-	id, service, zone string
-	born              int64
-	link              *relay
-	listener          *httptest.Server
+	id, service, zone, address string
+	// born is the start of the process by the time of day of its machine.
+	born      int64
+	startedAt time.Time
+	process   *httptest.Server
 }
 
 func newSite() *site {
@@ -114,32 +119,29 @@
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		cannotRun("settings cannot be written: %v", err)
 	}
-	d.command = exec.Command("target/chestnutcoursed", "serve", "--advertise", d.peerLink.address)
-	d.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CHESTNUTCOURSE_CONFIG=" + settings}
 	log, err := os.Create(filepath.Join(cmp.Or(*logDir, s.dir), name+".log"))
 	if err != nil {
 		cannotRun("no log file: %v", err)
 	}
-	d.command.Stdout, d.command.Stderr = log, log
-	if err := d.command.Start(); err != nil {
-		cannotRun("target/chestnutcoursed cannot be started: %v", err)
-	}
-	d.exited = make(chan struct{})
-	go func() { _ = d.command.Wait(); close(d.exited) }()
-	atExit(func() { _ = d.command.Process.Signal(syscall.SIGKILL); <-d.exited })
+	d.environment, d.log = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CHESTNUTCOURSE_CONFIG=" + settings}, log
+	d.start()
+	atExit(d.kill)
 	s.daemons = append(s.daemons, d)
 	return d
 }
 
-// startDaemons starts a daemon in each zone. The one in north-c leads: the first one that finds
+// startDaemons starts a daemon in each zone, each with a share of a core. The one in north-c leads: the first one that finds
 // no record writes it, and the others start within 0.3 s.
-func (s *site) startDaemons() {
-	s.addDaemon("edge-north-c-1", "north-c", "0.224")
+func (s *site) startDaemons(cpuShare string) {
+	s.addDaemon("edge-north-c-1", "north-c", cpuShare)
 	time.Sleep(300 * time.Millisecond)
-	s.addDaemon("edge-north-a-1", "north-a", "0.224")
-	s.addDaemon("edge-north-b-1", "north-b", "0.224")
+	s.addDaemon("edge-north-a-1", "north-a", cpuShare)
+	s.addDaemon("edge-north-b-1", "north-b", cpuShare)
 }
 
+// smallMachine is the share of a core of the machines of the small sites.
+const smallMachine = "0.224"
+
 // cutOff cuts a machine off from the other machines and the store. Servers and clients reach it,
 // and it reaches them.
 func (s *site) cutOff(machine *daemon) {
@@ -152,12 +154,55 @@
 	}
 }
 
+// start starts the process of a machine.
+func (d *daemon) start() {
+	d.command = exec.Command("target/chestnutcoursed", "serve", "--advertise", d.peerLink.address)
+	d.command.Env, d.command.Stdout, d.command.Stderr = d.environment, d.log, d.log
+	if err := d.command.Start(); err != nil {
+		cannotRun("target/chestnutcoursed cannot be started: %v", err)
+	}
+	command, exited := d.command, make(chan struct{})
+	d.exited = exited
+	go func() { _ = command.Wait(); close(exited) }()
+}
+
+// kill ends the process of a machine at once.
+func (d *daemon) kill() {
+	_ = d.command.Process.Signal(syscall.SIGKILL)
+	<-d.exited
+}
+
 // addServer starts a server and enters it in the store.
 func (s *site) addServer(id, service, zone string, settings fencetarget.Settings) *server {
+	return s.startServer(id, service, zone, settings, time.Now())
+}
+
+// startServer is like addServer, with the time of day of the server's machine.
+func (s *site) startServer(id, service, zone string, settings fencetarget.Settings, timeOfDay time.Time) *server {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		cannotRun("no port for a server: %v", err)
+	}
+	return s.serve(id, service, zone, settings, timeOfDay, listener)
+}
+
+// startAgain starts a server that has ended under its id at its address.
+func (s *site) startAgain(t *server, timeOfDay time.Time) *server {
+	listener, err := net.Listen("tcp", t.address)
+	if err != nil {
+		cannotRun("the port of %s is taken: %v", t.id, err)
+	}
+	return s.serve(t.id, t.service, t.zone, t.Settings, timeOfDay, listener)
+}
+
+func (s *site) serve(id, service, zone string, settings fencetarget.Settings, timeOfDay time.Time, listener net.Listener) *server {
 	settings.ID, settings.Domain = id, zone
-	t := &server{Target: fencetarget.New(settings), id: id, service: service, zone: zone, born: time.Now().UnixMilli()}
-	t.listener = httptest.NewServer(t.Target)
-	t.link = newRelay(strings.TrimPrefix(t.listener.URL, "http://"))
+	t := &server{
+		Target: fencetarget.New(settings), id: id, service: service, zone: zone,
+		address: listener.Addr().String(), born: timeOfDay.UnixMilli(), startedAt: time.Now(),
+	}
+	t.process = &httptest.Server{Listener: listener, Config: &http.Server{Handler: t.Target}}
+	t.process.Start()
 	s.mu.Lock()
 	s.servers[id] = t
 	s.mu.Unlock()
@@ -165,11 +210,18 @@
 	return t
 }
 
+// end ends the server's process: its connections are closed and its port refuses new ones.
+func (t *server) end() {
+	t.Stop()
+	_ = t.process.Listener.Close()
+	t.process.CloseClientConnections()
+}
+
 func (s *site) enter(t *server, state string) {
 	s.store.Set("servers", t.id, map[string]any{
-		"address": t.link.address, "born": t.born,
+		"address": t.address, "born": t.born,
 		"info": map[string]any{"service": t.service, "version": "v1", "zone": t.zone, "maxConcurrency": cmp.Or(t.Slots, 4)},
-	}, map[string]any{"state": state, "sequence": 1, "warmupLeft": fmt.Sprintf("%dms", max(t.ColdFor-time.Since(time.UnixMilli(t.born)), 0).Milliseconds())})
+	}, map[string]any{"state": state, "sequence": 1, "warmupLeft": fmt.Sprintf("%dms", max(t.ColdFor-time.Since(t.startedAt), 0).Milliseconds())})
 }
 
 // route is one route of the configuration.
