--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -104,9 +104,9 @@
 
 // cases are the cases by name.
 var cases = map[string]func(){
-	"clock-back":        clockBack,
 	"silent-sessions":   silentSessions,
-	"double-slash":      doubleSlash,
+	"clock-back":        clockBack,
 	"isolated-leader":   isolatedLeader,
+	"double-slash":      doubleSlash,
 	"pipelined-percent": pipelinedPercent,
 }
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -130,8 +130,8 @@
 	return d
 }
 
-// startDaemons starts a daemon in each zone, each with a share of a core. The one in north-c leads: the first one that finds
-// no record writes it, and the others start within 0.3 s.
+// startDaemons starts a daemon in each zone, each with a share of a core. The one in north-c
+// leads: the first one that finds no record writes it, and the others start 0.3 s later.
 func (s *site) startDaemons(cpuShare string) {
 	s.addDaemon("edge-north-c-1", "north-c", cpuShare)
 	time.Sleep(300 * time.Millisecond)
