review: body bytes of an upload run as requests of their own

Cause: when an answer is complete before the body, the read of the body that is in progress gets 300 ms. If it times out, the connection goes on to the next request although the body has not been read to its end, until the handler's goroutine marks it as closing. Change: case 11, with the stand-ins of this review. Nothing is fixed.

--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the cases 11 to 15.
+set -eu
+cd "$(dirname "$0")/.."
+go build -o target/review-3/stand ./review/stand-3
