review: a late report of a draining server is taken for news

Cause: entries of servers are ordered by the start of the process only; the number of the report is not read. Nothing is fixed.

--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -20,6 +20,7 @@
 type play func(s *site, trouble bool) (verdict int, err error)
 
 var plays = map[string]play{
+	"beat":   playBeat,
 	"inside": playInside,
 }
 
