review: requests behind an answer that breaks off are lost

Cause: an answer above 128 KiB that breaks off closes the connection, also for requests behind it that have been passed on to sound servers. Nothing is fixed.

--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -21,6 +21,7 @@
 
 var plays = map[string]play{
 	"beat":   playBeat,
+	"behind": playBehind,
 	"inside": playInside,
 }
 
