--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases 11 to 15.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o target/review-3/stand ./review/stand-3
+go build -tags review -o target/review-3/stand ./review/stand-3
--- a/review/stand-3/beat.go
+++ b/review/stand-3/beat.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -28,7 +30,7 @@
 	// bookingWork is how long a booking takes.
 	bookingWork = 450 * time.Millisecond
 	// bookingClients send one booking after the other, each after a pause.
-	bookingClients = 12
+	bookingClients = 10
 	bookingPause   = 60 * time.Millisecond
 )
 
@@ -91,9 +93,9 @@
 // playBeat drains a server shortly after the store has left one of its reports unanswered, which
 // the store carries out late.
 func playBeat(s *site, trouble bool) (int, error) {
-	s.configure([]route{{"/bookings/", "non_idempotent", "desk", 400 * time.Millisecond, 2500 * time.Millisecond}}, map[string]bool{"desk": false})
+	s.configure([]route{{"/bookings/", "non_idempotent", "desk", time.Second, 2500 * time.Millisecond}}, map[string]bool{"desk": false})
 	var beaters []*beater
-	for i := range 4 {
+	for i := range 3 {
 		b := &beater{born: time.Now().UnixMilli(), drain: make(chan struct{}), acknowledged: make(chan struct{}), ended: make(chan struct{}), arrivals: map[string]time.Time{}}
 		v, err := s.startServer(fmt.Sprintf("i-desk%d", i+1), "desk", 4, func(*server) func(net.Conn, *http.Request) bool { return b.book })
 		if err != nil {
--- a/review/stand-3/client.go
+++ b/review/stand-3/client.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/stand-3/inside.go
+++ b/review/stand-3/inside.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -17,7 +19,7 @@
 	// insideClients is the number of clients that upload to a VM at once: the clients of a zone.
 	insideClients = 62
 	// insideRounds is the number of uploads of a client, roundTime the time from one to the next.
-	insideRounds = 50
+	insideRounds = 20
 	roundTime    = 1500 * time.Millisecond
 	// firstRecords is the number of records that an upload begins with, and later that of the
 	// records that follow one by one. An upload has 60,000 bytes, as the users' have.
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command stand-3 plays the cases 11 to 15 of the review. It starts the daemons as processes of
 // their own; the store, the servers and the clients are stand-ins within this process.
 //
